--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,15 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['target/**', 'node_modules/**'] },
+  ...tseslint.configs.strict,
+  {
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error',
+      '@typescript-eslint/no-non-null-assertion': 'error',
+      eqeqeq: 'error',
+    },
+  },
+);
--- /dev/null
+++ b/packages/controller/src/estimates.ts
@@ -0,0 +1,23 @@
+import type { JobSpec } from '@spurbridge/wire';
+
+const WEIGHT = 0.08;
+const ENOUGH = 6;
+
+/** Owners err systematically on some days: each class's estimates are corrected by what was seen. */
+export class Estimates {
+  private readonly classes = new Map<string, { logRatio: number; samples: number }>();
+
+  expect(spec: JobSpec): number {
+    const c = this.classes.get(spec.class);
+    const ratio = c === undefined || c.samples < ENOUGH ? 1 : Math.exp(c.logRatio);
+    return Math.max(0.5, spec.estimateS * ratio);
+  }
+
+  learn(spec: JobSpec, ranS: number): void {
+    const seen = Math.log(Math.min(8, Math.max(0.125, ranS / Math.max(spec.estimateS, 0.5))));
+    const c = this.classes.get(spec.class) ?? { logRatio: 0, samples: 0 };
+    c.samples += 1;
+    c.logRatio += (seen - c.logRatio) * Math.max(WEIGHT, 1 / (c.samples + 1));
+    this.classes.set(spec.class, c);
+  }
+}
--- /dev/null
+++ b/packages/controller/src/fleet.ts
@@ -0,0 +1,295 @@
+import type { Machine } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { FleetMachine, Rent, Unmet } from '@spurbridge/planner';
+import { planFleet } from '@spurbridge/planner';
+import type { ListedMachine, MachineId } from '@spurbridge/wire';
+import { ABSENT, read } from '@spurbridge/wire';
+import { MAX_RELEASE, MAX_RENT } from '@spurbridge/cloud';
+import type { Leader } from './leader.js';
+import { Signal } from './signal.js';
+
+export const FLEET_KEY = 'fleet';
+const LIST_MS = 3000;
+const NO_CAPACITY_MS = 15_000;
+/** A machine not up after this many times its usual boot time is given back. */
+const BOOT_PATIENCE = 3;
+/** A machine silent for this long is released: the answer proves its tasks gone sooner than the lease. */
+const SILENT_RELEASE_MS = 9000;
+/** Silence of this share of the machines points at our own network. */
+const MASS_SHARE = 0.5;
+const PEAK_WINDOW_MS = 60_000;
+const IDLE_RENTED_S = 25;
+const IDLE_STANDING_S = 600;
+const HEADROOM = 1.1;
+
+/** Rents, returns and watches over machines, for as long as its leader leads. */
+export class Fleet {
+  private readonly signal = new Signal();
+  /** Machines up to this id stood there before the service first ran: its owners' choice, kept. */
+  private standingUpTo: string | null = null;
+  private unmet: readonly Unmet[] = [];
+  private readonly refusedUntil = new Map<string, Ms>();
+  private requests = 0;
+  private releaseDue: MachineId[] = [];
+  private readonly demand: { at: Ms; cpus: number; ordinary: number }[] = [];
+  private massSince: Ms | null = null;
+
+  constructor(private readonly leader: Leader) {}
+
+  isRented(id: MachineId): boolean {
+    return this.standingUpTo !== null && compareIds(id, this.standingUpTo) > 0;
+  }
+
+  planned(unmet: readonly Unmet[]): void {
+    this.unmet = unmet;
+    this.remember();
+    this.signal.raise();
+  }
+
+  cameUp(m: Machine): void {
+    m.rented = this.isRented(m.id);
+  }
+
+  async run(): Promise<void> {
+    await Promise.all([this.listLoop(), this.fleetLoop(), this.releaseLoop()]);
+  }
+
+  // --- listing ---------------------------------------------------------------------------------
+
+  private async listLoop(): Promise<void> {
+    const { cloud, clock } = this.leader.c;
+    while (this.leader.active) {
+      const listed = await cloud.list();
+      if (!this.leader.active) return;
+      if (listed === null) {
+        await clock.sleep(1000);
+        continue;
+      }
+      if (this.standingUpTo === null) await this.findStanding(listed);
+      for (const l of listed) this.learn(l);
+      await clock.sleep(LIST_MS);
+    }
+  }
+
+  /** The fleet found at the very first start is recorded once; machines are named in order of creation. */
+  private async findStanding(listed: readonly ListedMachine[]): Promise<void> {
+    const { store, leadership } = this.leader.c;
+    const found = await store.read(FLEET_KEY, 1);
+    if (found.outcome === 'found') {
+      this.standingUpTo = read.str(read.asObject(found.item.value, FLEET_KEY), 'standingUpTo');
+    } else if (found.outcome === 'absent') {
+      const ids = [...listed.map((l) => l.id as string), ...[...this.leader.machines.keys()]];
+      const last = ids.reduce((a, b) => (compareIds(a, b) >= 0 ? a : b), '');
+      const written = await store.commit(
+        [leadership.condition(), { key: FLEET_KEY, version: ABSENT }],
+        [{ put: FLEET_KEY, value: { standingUpTo: last } }],
+        1,
+      );
+      if (written.outcome === 'committed') this.standingUpTo = last;
+    }
+    for (const m of this.leader.machines.values()) m.rented = this.isRented(m.id);
+  }
+
+  private learn(l: ListedMachine): void {
+    const m = this.leader.describeMachine(l.id, l.type, l.zone, l.spot);
+    m.rented = this.isRented(l.id);
+    if (m.address === '') m.address = l.address;
+    if (l.phase === 'failed' && m.state !== 'gone' && m.state !== 'releasing') {
+      // A failed machine stopped on its own: nothing runs there any more.
+      this.leader.clearMachine(l.id, 'machine failed');
+      this.giveBack(m, 'failed');
+    }
+  }
+
+  // --- renting and returning -------------------------------------------------------------------
+
+  private remember(): void {
+    const now = this.leader.c.clock.now();
+    let cpus = 0;
+    let ordinary = 0;
+    for (const job of this.leader.jobs.values())
+      if (job.placements.size > 0) {
+        cpus += job.placements.size * job.spec.cpus;
+        if (!job.spec.spot) ordinary += job.placements.size * job.spec.cpus;
+      }
+    for (const u of this.unmet)
+      if (u.withinLimit) {
+        cpus += u.tasks * u.job.spec.cpus;
+        if (!u.job.spec.spot) ordinary += u.tasks * u.job.spec.cpus;
+      }
+    this.demand.push({ at: now, cpus, ordinary });
+    while ((this.demand[0]?.at ?? now) < now - PEAK_WINDOW_MS) this.demand.shift();
+  }
+
+  private target(): { cpus: number; ordinary: number } {
+    let cpus = 0;
+    let ordinary = 0;
+    for (const d of this.demand) {
+      cpus += d.cpus;
+      ordinary = Math.max(ordinary, d.ordinary);
+    }
+    return { cpus: (cpus / Math.max(1, this.demand.length)) * HEADROOM, ordinary: ordinary * HEADROOM };
+  }
+
+  private view(now: Ms): FleetMachine[] {
+    const machines: FleetMachine[] = [];
+    for (const m of this.leader.machines.values()) {
+      const type = this.leader.type(m.type);
+      if (type === undefined || m.state === 'gone' || m.state === 'releasing') continue;
+      let usedCpus = 0;
+      for (const { job } of this.leader.heldOn(m.id)) usedCpus += job.spec.cpus;
+      machines.push({
+        id: m.id,
+        type,
+        zone: m.zone,
+        spot: m.spot,
+        booting: m.state === 'booting',
+        returnable: m.rented || this.standingUpTo === '',
+        idleS: m.idleSince === null ? 0 : (now - m.idleSince) / 1000,
+        usedCpus,
+        takesTasks: m.takesTasks,
+      });
+    }
+    return machines;
+  }
+
+  private async fleetLoop(): Promise<void> {
+    const { clock, leadership, types } = this.leader.c;
+    while (this.leader.active) {
+      await this.signal.wait(clock, 1000);
+      if (!this.leader.active) return;
+      if (this.standingUpTo === null || types().length === 0 || !leadership.holdsSurely()) continue;
+      const now = clock.now();
+      const target = this.target();
+      const plan = planFleet({
+        types: types(),
+        machines: this.view(now),
+        unmet: this.unmet,
+        policy: {
+          idleS: this.standingUpTo === '' ? IDLE_RENTED_S : IDLE_STANDING_S,
+          targetCpus: target.cpus,
+          targetOrdinaryCpus: target.ordinary,
+          bootShare: this.standingUpTo === '' ? 0.5 : 0.15,
+        },
+        available: (type, zone, spot) => now >= (this.refusedUntil.get(`${type}/${zone}/${spot}`) ?? 0),
+      });
+      for (const id of plan.release) {
+        const m = this.leader.machines.get(id);
+        if (m !== undefined && this.leader.heldCount(id) === 0) this.giveBack(m, 'not needed');
+      }
+      await Promise.all(plan.rent.map((r) => this.rent(r)));
+      await clock.sleep(250);
+    }
+  }
+
+  private async rent(r: Rent): Promise<void> {
+    const { cloud, leadership, clock, log } = this.leader.c;
+    this.requests += 1;
+    const request = {
+      // Unique for ever: the token is never given twice, and the number not twice under one token.
+      request: `r-${leadership.token}-${this.requests}`,
+      type: r.type,
+      zone: r.zone,
+      spot: r.spot,
+      count: Math.min(r.count, MAX_RENT),
+    };
+    for (let attempt = 0; attempt < 3 && this.leader.active; attempt += 1) {
+      const outcome = await cloud.rent(request);
+      if (!this.leader.active) return;
+      if (outcome.outcome === 'rented') {
+        for (const id of outcome.machines) this.leader.describeMachine(id, r.type, r.zone, r.spot);
+        log.info({ ...request, got: outcome.machines.length }, 'machines rented');
+        if (outcome.machines.length < request.count) this.noCapacity(r);
+        return;
+      }
+      if (outcome.outcome === 'no_capacity') {
+        log.debug({ ...request }, 'no capacity');
+        this.noCapacity(r);
+        return;
+      }
+      // Repeating the same name is safe: an answered request rents nothing more.
+      await clock.sleep(700);
+    }
+  }
+
+  private noCapacity(r: Rent): void {
+    const until = later(this.leader.c.clock.now(), NO_CAPACITY_MS);
+    this.refusedUntil.set(`${r.type}/${r.zone}/${r.spot}`, until);
+  }
+
+  giveBack(m: Machine, reason: string): void {
+    if (m.state === 'releasing' || m.state === 'gone') return;
+    this.leader.c.log.info({ machine: m.id, type: m.type, spot: m.spot, reason }, 'machine released');
+    m.enter('releasing');
+    this.releaseDue.push(m.id);
+  }
+
+  private async releaseLoop(): Promise<void> {
+    const { cloud, clock, workers, leadership } = this.leader.c;
+    while (this.leader.active) {
+      await clock.sleep(100);
+      if (this.releaseDue.length === 0 || !leadership.holdsSurely()) continue;
+      const batch = this.releaseDue.slice(0, MAX_RELEASE);
+      const released = await cloud.release(batch, 0);
+      if (!this.leader.active) return;
+      if (!released) {
+        await clock.sleep(400);
+        continue;
+      }
+      this.releaseDue = this.releaseDue.filter((id) => !batch.includes(id));
+      for (const id of batch) {
+        const m = this.leader.machines.get(id);
+        this.leader.clearMachine(id, 'machine released');
+        if (m === undefined) continue;
+        m.enter('gone');
+        if (m.address !== '') workers.forgetAddress(m.address);
+      }
+      this.leader.requestPlan();
+    }
+  }
+
+  /** Machines that never came up, are silent, or have drained. */
+  sweep(now: Ms): void {
+    const silent: Machine[] = [];
+    let heard = 0;
+    for (const m of this.leader.machines.values()) {
+      if (m.state === 'booting') this.sweepBooting(m, now);
+      else if (m.state === 'silent') silent.push(m);
+      else if (m.state === 'ready') heard += 1;
+      else if (m.state === 'draining' && this.leader.heldCount(m.id) === 0 && m.goneBy === null)
+        this.giveBack(m, m.drainReason);
+    }
+    const mass = silent.length >= 3 && silent.length >= (silent.length + heard) * MASS_SHARE;
+    if (!mass) this.massSince = null;
+    else {
+      this.massSince ??= now;
+      // So many at once: more likely it is this node that cannot reach them. Another may lead.
+      if (now - this.massSince > 1500)
+        this.leader.c.leadership
+          .resign('most machines are silent: the fault may be here')
+          .catch((e: unknown) => {
+            this.leader.c.log.error({ error: String(e) }, 'resigning failed');
+          });
+      return;
+    }
+    for (const m of silent) {
+      const last = m.heardAt ?? m.firstSeen;
+      if (now - last > SILENT_RELEASE_MS || m.goneBy !== null) this.giveBack(m, 'silent');
+    }
+  }
+
+  private sweepBooting(m: Machine, now: Ms): void {
+    const bootS = this.leader.type(m.type)?.bootS ?? 60;
+    const held = this.leader.heldCount(m.id) > 0;
+    const waitedMs = now - m.firstSeen;
+    // With tasks recorded on it, it was up before: it is treated as a silent one.
+    if (held && waitedMs > SILENT_RELEASE_MS + 4000) this.giveBack(m, 'silent');
+    else if (!held && waitedMs > bootS * 1000 * BOOT_PATIENCE + 5000) this.giveBack(m, 'never came up');
+  }
+}
+
+/** Names are in order of creation; a longer name is a later one. */
+export function compareIds(a: string, b: string): number {
+  return a.length - b.length || (a < b ? -1 : a > b ? 1 : 0);
+}
--- /dev/null
+++ b/packages/controller/src/http.ts
@@ -0,0 +1,77 @@
+import Fastify from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import {
+  MAX_BODY_BYTES,
+  MalformedError,
+  PATHS,
+  formatReportAnswer,
+  formatStatus,
+  isJobId,
+  parseReport,
+} from '@spurbridge/wire';
+import type { Answer } from './jobs.js';
+import type { Controller } from './node.js';
+import type { Log } from './log.js';
+
+function send(reply: FastifyReply, a: Answer): FastifyReply {
+  if (a.code === 503)
+    return reply.code(503).header('retry-after', String(a.retryAfterS)).send({ error: a.error });
+  if ('status' in a) return reply.code(a.code).send(formatStatus(a.status));
+  return reply.code(a.code).send({ error: a.error });
+}
+
+/** The `listen` interface: users, workers and health probes. */
+export function buildServer(controller: Controller, log: Log): FastifyInstance {
+  const app = Fastify({
+    logger: false,
+    bodyLimit: MAX_BODY_BYTES,
+    keepAliveTimeout: 120_000,
+    exposeHeadRoutes: false,
+  });
+  // Bodies are JSON whatever their content type says; what is not JSON is malformed.
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    try {
+      done(null, JSON.parse((body as Buffer).toString('utf8')));
+    } catch {
+      done(new MalformedError('body', 'JSON'), undefined);
+    }
+  });
+  app.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => {
+    const status = error.statusCode ?? 500;
+    if (error instanceof MalformedError || (status >= 400 && status < 500))
+      return reply.code(400).send({ error: error.message });
+    log.error({ error: error.stack ?? error.message }, 'request failed');
+    return reply.code(503).header('retry-after', '1').send({ error: 'internal error' });
+  });
+  app.setNotFoundHandler((_request, reply) => reply.code(404).send({ error: 'no such resource' }));
+
+  app.get(PATHS.health, (_request, reply) =>
+    controller.healthy()
+      ? reply.code(200).send({ ok: true })
+      : reply.code(503).header('retry-after', '1').send({ ok: false }),
+  );
+  app.post(PATHS.jobs, async (request, reply) => send(reply, await controller.jobs.submit(request.body)));
+  app.get<{ Params: { id: string } }>(`${PATHS.jobs}/:id`, async (request, reply) => {
+    const { id } = request.params;
+    if (!isJobId(id)) return send(reply, { code: 404, error: 'no such job' });
+    return send(reply, await controller.jobs.status(id));
+  });
+  app.post<{ Params: { id: string } }>(`${PATHS.jobs}/:id/cancel`, async (request, reply) => {
+    const { id } = request.params;
+    if (!isJobId(id)) return send(reply, { code: 404, error: 'no such job' });
+    return send(reply, await controller.jobs.cancel(id));
+  });
+  app.post(PATHS.report, (request, reply) => {
+    const answer = controller.report(parseReport(request.body));
+    switch (answer.code) {
+      case 200:
+        return reply.code(200).send(formatReportAnswer(answer.token, answer.commands));
+      case 421:
+        return reply.code(421).send({ foreman: answer.leader });
+      case 503:
+        return reply.code(503).header('retry-after', '1').send({ error: 'no leader is known' });
+    }
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/controller/src/index.ts
@@ -0,0 +1,10 @@
+export * from './node.js';
+export * from './http.js';
+export * from './settings.js';
+export * from './worker-link.js';
+export * from './jobs.js';
+export * from './leader.js';
+export * from './log.js';
+export * from './estimates.js';
+export { compareIds } from './fleet.js';
+export { Peers, peerMessages } from './peers.js';
--- /dev/null
+++ b/packages/controller/src/jobs.ts
@@ -0,0 +1,104 @@
+import type { JobRecord, WallMs } from '@spurbridge/model';
+import { chunkSizeFor, decodeJob, encodeJob, jobKey, neverRuns, userPhase } from '@spurbridge/model';
+import type { StateStore } from '@spurbridge/store';
+import type { JobId, JobPhase, JobSpec, JobStatus, MachineType, Version } from '@spurbridge/wire';
+import { ABSENT, MalformedError, parseSubmission, parseSubmissionId } from '@spurbridge/wire';
+import type { Settings } from './settings.js';
+
+export type Answer =
+  | { readonly code: 200 | 201; readonly status: JobStatus }
+  | { readonly code: 400 | 404 | 422; readonly error: string }
+  /** Cannot be decided now: asked again after `retryAfterS`. */
+  | { readonly code: 503; readonly error: string; readonly retryAfterS: number };
+
+const TRIES = 3;
+
+/** Users' calls, answered by any node from the state service alone. */
+export class JobService {
+  constructor(
+    private readonly settings: Settings,
+    private readonly store: StateStore,
+    private readonly wallNow: () => WallMs,
+    private readonly types: () => readonly MachineType[],
+    private readonly progress: (id: JobId) => { done: number; running: number } | null,
+  ) {}
+
+  async submit(body: unknown): Promise<Answer> {
+    let spec: JobSpec;
+    try {
+      spec = parseSubmission(body);
+    } catch (e) {
+      return this.malformed(body, e);
+    }
+    if (this.types().length === 0) return this.known(spec.id, unsure('machine types are not known yet'));
+    const never = neverRuns(spec, this.settings.teams, this.types());
+    // A retry of a known job is answered with its state even if the job would be refused now.
+    if (never !== null) return this.known(spec.id, { code: 422, error: never });
+    const record: JobRecord = {
+      spec,
+      phase: 'active',
+      at: this.wallNow(),
+      chunkSize: chunkSizeFor(this.settings.state.valueKb),
+    };
+    const outcome = await this.store.commit(
+      [{ key: jobKey(spec.id), version: ABSENT }],
+      [{ put: jobKey(spec.id), value: encodeJob(record) }],
+      1,
+    );
+    if (outcome.outcome === 'committed') return { code: 201, status: { id: spec.id, phase: 'queued' } };
+    if (outcome.outcome === 'conflict') return this.known(spec.id, unsure('the job is being accepted'));
+    return unsure('the state service did not confirm');
+  }
+
+  private async malformed(body: unknown, e: unknown): Promise<Answer> {
+    if (!(e instanceof MalformedError)) throw e;
+    const refusal: Answer = { code: 400, error: e.message };
+    let id: JobId;
+    try {
+      id = parseSubmissionId(body);
+    } catch {
+      return refusal;
+    }
+    return this.known(id, refusal);
+  }
+
+  /** The state of a job that is known already; otherwise the given answer. */
+  private async known(id: JobId, otherwise: Answer): Promise<Answer> {
+    const status = await this.status(id);
+    return status.code === 404 ? otherwise : status;
+  }
+
+  async status(id: JobId): Promise<Answer> {
+    const found = await this.store.read(jobKey(id), 1);
+    if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
+    if (found.outcome !== 'found') return unsure('the state service does not answer');
+    const record = decodeJob(found.item.value);
+    const p = this.progress(id) ?? { done: 0, running: 0 };
+    const phase: JobPhase = userPhase(record, p.running);
+    const done = phase === 'done' ? record.spec.tasks : p.done;
+    const running = record.phase === 'active' ? p.running : 0;
+    return { code: 200, status: { id, phase, done, running } };
+  }
+
+  async cancel(id: JobId): Promise<Answer> {
+    for (let n = 0; n < TRIES; n += 1) {
+      const found = await this.store.read(jobKey(id), 1);
+      if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
+      if (found.outcome !== 'found') return unsure('the state service does not answer');
+      const record = decodeJob(found.item.value);
+      if (record.phase !== 'active') return { code: 200, status: { id, phase: record.phase } };
+      const outcome = await this.store.commit(
+        [{ key: jobKey(id), version: found.item.version satisfies Version }],
+        [{ put: jobKey(id), value: encodeJob({ ...record, phase: 'cancelled' }) }],
+        1,
+      );
+      if (outcome.outcome === 'committed') return { code: 200, status: { id, phase: 'cancelled' } };
+      if (outcome.outcome !== 'conflict') return unsure('the state service did not confirm');
+    }
+    return unsure('the job keeps changing');
+  }
+}
+
+function unsure(error: string): Answer {
+  return { code: 503, error, retryAfterS: 1 };
+}
--- /dev/null
+++ b/packages/controller/src/log.ts
@@ -0,0 +1,6 @@
+/** The part of a pino logger that the controllers use. */
+export interface Log {
+  debug(fields: object, message: string): void;
+  info(fields: object, message: string): void;
+  error(fields: object, message: string): void;
+}
--- /dev/null
+++ b/packages/controller/src/node.ts
@@ -0,0 +1,195 @@
+import type { Cloud } from '@spurbridge/cloud';
+import type { WallMs } from '@spurbridge/model';
+import type { Clock } from '@spurbridge/net';
+import type { StateStore } from '@spurbridge/store';
+import { Leadership } from '@spurbridge/store';
+import type {
+  JobId,
+  JobProgress,
+  MachineType,
+  NodeId,
+  PeerMessage,
+  Token,
+  WorkerReport,
+} from '@spurbridge/wire';
+import { JobService } from './jobs.js';
+import { Leader } from './leader.js';
+import type { Log } from './log.js';
+import { Peers } from './peers.js';
+import type { Settings } from './settings.js';
+import { answerHorizonMs } from './settings.js';
+import type { WorkerLink } from './worker-link.js';
+import type { WorkerCommand } from '@spurbridge/wire';
+
+export interface NodeParts {
+  readonly settings: Settings;
+  readonly store: StateStore;
+  readonly cloud: Cloud;
+  readonly workers: WorkerLink;
+  readonly clock: Clock;
+  readonly wallNow: () => WallMs;
+  readonly log: Log;
+  /** Tells this process from earlier ones of the same node. */
+  readonly incarnation: string;
+}
+
+export type ReportAnswer =
+  | { readonly code: 200; readonly token: Token; readonly commands: readonly WorkerCommand[] }
+  | { readonly code: 421; readonly leader: NodeId }
+  | { readonly code: 503 };
+
+const TYPES_KEY_TTL_MS = 60_000;
+const STATE_LOST_MS = 2500;
+const PROGRESS_KEPT = 5000;
+
+/** One controller: what every node does, and its leader while it leads. */
+export class Controller {
+  readonly jobs: JobService;
+  readonly leadership: Leadership;
+  private readonly peers: Peers;
+  private leader: Leader | null = null;
+  private machineTypes: readonly MachineType[] = [];
+  private readonly progress = new Map<JobId, JobProgress>();
+
+  constructor(private readonly parts: NodeParts) {
+    const { settings, store, clock, log } = parts;
+    this.leadership = new Leadership(store, clock, settings.node, parts.incarnation, {
+      elected: (token) => {
+        this.elected(token);
+      },
+      resumed: () => {
+        this.leader?.requestPlan();
+      },
+      deposed: (reason) => {
+        this.leader?.depose();
+        this.leader = null;
+        log.info({ reason }, 'no longer leading');
+      },
+      log: (message, fields) => {
+        log.info(fields, message);
+      },
+    });
+    this.peers = new Peers(
+      settings.peers,
+      clock,
+      log,
+      () => this.status(),
+      (_from, message) => {
+        this.onPeer(message);
+      },
+    );
+    this.jobs = new JobService(
+      settings,
+      store,
+      parts.wallNow,
+      () => this.machineTypes,
+      (id) => this.leader?.progress(id) ?? this.progress.get(id) ?? null,
+    );
+  }
+
+  async run(): Promise<void> {
+    await Promise.all([this.leadership.run(), this.learnTypes(), this.peers.run(this.parts.settings.back)]);
+  }
+
+  private elected(token: Token): void {
+    const { settings, store, cloud, workers, clock, wallNow, log } = this.parts;
+    const leader = new Leader({
+      settings,
+      store,
+      cloud,
+      workers,
+      leadership: this.leadership,
+      clock,
+      wallNow,
+      log,
+      types: () => this.machineTypes,
+      publish: (progress) => {
+        this.peers.broadcast({ progress });
+      },
+    });
+    this.leader = leader;
+    log.info({ token }, 'leading');
+    this.peers.broadcast(this.status());
+    leader.run().catch((e: unknown) => {
+      log.error({ error: e instanceof Error ? (e.stack ?? e.message) : String(e) }, 'leader failed');
+      leader.depose();
+      void this.leadership.resign('the leader failed');
+    });
+  }
+
+  /** Prices move, types seldom: they are asked for at the start and then once in a while. */
+  private async learnTypes(): Promise<void> {
+    for (;;) {
+      // Only the leader follows the prices; the others need the types alone.
+      if (this.machineTypes.length === 0 || this.leader !== null) {
+        try {
+          const types = await this.parts.cloud.types();
+          if (types !== null) this.machineTypes = types;
+        } catch (e) {
+          this.parts.log.error({ error: String(e) }, 'machine types cannot be read');
+        }
+      }
+      await this.parts.clock.sleep(this.machineTypes.length === 0 ? 700 : TYPES_KEY_TTL_MS);
+    }
+  }
+
+  private stateServed(): boolean {
+    const since = this.parts.store.failingSince();
+    return since === null || this.parts.clock.now() - since < STATE_LOST_MS;
+  }
+
+  private status(): PeerMessage {
+    const known = this.leadership.leader();
+    return {
+      status: {
+        node: this.parts.settings.node,
+        token: known?.token ?? (0 as Token),
+        leader: known?.node ?? ('' as NodeId),
+        stateOk: this.stateServed(),
+      },
+    };
+  }
+
+  private onPeer(message: PeerMessage): void {
+    const s = message.status;
+    if (s !== undefined && s.leader !== '') this.leadership.observe(s.token, s.leader);
+    for (const p of message.progress ?? []) {
+      this.progress.delete(p.job as JobId);
+      this.progress.set(p.job as JobId, p);
+    }
+    for (const id of this.progress.keys()) {
+      if (this.progress.size <= PROGRESS_KEPT) break;
+      this.progress.delete(id);
+    }
+  }
+
+  /**
+   * Whether users should be sent here. A node that alone is refused by the state service steps aside;
+   * in an outage that all share there is nowhere better to go, and leaving would only delay the return.
+   */
+  healthy(): boolean {
+    return this.machineTypes.length > 0 && (this.stateServed() || !this.peers.someoneServed());
+  }
+
+  report(r: WorkerReport): ReportAnswer {
+    this.leadership.observe(r.token, null);
+    const { leader } = this;
+    const state = this.leadership.state;
+    if (leader !== null && (state === 'leading' || state === 'holding')) {
+      // Past its lease a leader may still keep the workers' leases alive, but only up to a horizon
+      // that a new leader waits for before it takes a silent machine's tasks for gone.
+      if (
+        !this.leadership.holdsSurely() &&
+        this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
+      )
+        return { code: 503 };
+      leader.onReport(r);
+      const commands = leader.ordersFor(r);
+      leader.answered(r);
+      return { code: 200, token: this.leadership.token, commands };
+    }
+    const known = this.leadership.leader();
+    if (known === null || known.node === this.parts.settings.node) return { code: 503 };
+    return { code: 421, leader: known.node };
+  }
+}
--- /dev/null
+++ b/packages/controller/src/peers.ts
@@ -0,0 +1,139 @@
+import net from 'node:net';
+import type { Clock } from '@spurbridge/net';
+import type { NodeId, PeerMessage } from '@spurbridge/wire';
+import { decodePeerMessage, encodePeerMessage } from '@spurbridge/wire';
+import type { Log } from './log.js';
+
+const STATUS_MS = 700;
+const SILENT_MS = 4000;
+const RETRY_MS = 1000;
+const CONNECT_MS = 2000;
+const MOST_QUEUED_BYTES = 256 * 1024;
+
+/** idle -> connecting -> open -> idle; one outgoing connection per peer, receiving on incoming ones. */
+type LinkState = 'idle' | 'connecting' | 'open';
+
+class Link {
+  private current: LinkState = 'idle';
+  private socket: net.Socket | null = null;
+
+  constructor(
+    readonly node: NodeId,
+    private readonly address: string,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  private enter(next: LinkState): void {
+    if (next === this.current) return;
+    if (next === 'open' || this.current === 'open')
+      this.log.info({ peer: this.node, from: this.current, to: next }, 'peer link');
+    this.current = next;
+  }
+
+  send(message: PeerMessage): void {
+    if (this.current !== 'open' || this.socket === null) return;
+    // A peer that does not read is dropped rather than buffered for.
+    if (this.socket.writableLength > MOST_QUEUED_BYTES) this.socket.destroy();
+    else this.socket.write(encodePeerMessage(message));
+  }
+
+  async run(greeting: () => PeerMessage): Promise<never> {
+    const colon = this.address.lastIndexOf(':');
+    const host = this.address.slice(0, colon);
+    const port = Number(this.address.slice(colon + 1));
+    for (;;) {
+      this.enter('connecting');
+      const socket = net.connect({ host, port, noDelay: true });
+      this.socket = socket;
+      socket.setTimeout(CONNECT_MS, () => {
+        if (socket.connecting) socket.destroy();
+      });
+      socket.once('connect', () => {
+        this.enter('open');
+        this.send(greeting());
+      });
+      try {
+        // Nothing is said on this direction; the iteration ends when the connection does.
+        for await (const chunk of socket) void chunk;
+      } catch {
+        // The loop below connects again whatever ended it.
+      }
+      socket.destroy();
+      this.socket = null;
+      this.enter('idle');
+      await this.clock.sleep(RETRY_MS);
+    }
+  }
+}
+
+/** Frames of one incoming connection, as they are completed. */
+export async function* peerMessages(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<PeerMessage> {
+  let held: Buffer = Buffer.alloc(0);
+  for await (const chunk of chunks) {
+    held = held.length === 0 ? Buffer.from(chunk) : Buffer.concat([held, chunk]);
+    for (;;) {
+      const frame = decodePeerMessage(held);
+      if (frame === null) break;
+      held = held.subarray(frame.size);
+      yield frame.message;
+    }
+  }
+}
+
+/** The controller-to-controller link: hints only, never needed for keeping a rule. */
+export class Peers {
+  private readonly links: Link[];
+  private readonly heardAt = new Map<string, { at: number; stateOk: boolean }>();
+
+  constructor(
+    peers: readonly { node: NodeId; address: string }[],
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly status: () => PeerMessage,
+    private readonly receive: (from: NodeId | null, message: PeerMessage) => void,
+  ) {
+    this.links = peers.map((p) => new Link(p.node, p.address, clock, log));
+  }
+
+  broadcast(message: PeerMessage): void {
+    for (const link of this.links) link.send(message);
+  }
+
+  /** Whether a peer that was lately heard is served by the state service. */
+  someoneServed(): boolean {
+    const now = this.clock.now();
+    for (const h of this.heardAt.values()) if (h.stateOk && now - h.at < SILENT_MS) return true;
+    return false;
+  }
+
+  async run(listen: string): Promise<void> {
+    const colon = listen.lastIndexOf(':');
+    const server = net.createServer({ noDelay: true }, (socket) => {
+      this.serve(socket).catch((e: unknown) => {
+        this.log.debug({ error: String(e) }, 'peer connection ended');
+        socket.destroy();
+      });
+    });
+    server.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon));
+    for (const link of this.links)
+      link.run(this.status).catch((e: unknown) => {
+        this.log.error({ error: String(e) }, 'peer link failed');
+      });
+    for (;;) {
+      await this.clock.sleep(STATUS_MS);
+      this.broadcast(this.status());
+    }
+  }
+
+  private async serve(socket: net.Socket): Promise<void> {
+    let from: NodeId | null = null;
+    for await (const message of peerMessages(socket)) {
+      if (message.status !== undefined) {
+        from = message.status.node;
+        this.heardAt.set(from, { at: this.clock.now(), stateOk: message.status.stateOk });
+      }
+      this.receive(from, message);
+    }
+  }
+}
--- /dev/null
+++ b/packages/controller/src/settings.ts
@@ -0,0 +1,43 @@
+import type { Team } from '@spurbridge/model';
+import type { NodeId } from '@spurbridge/wire';
+
+export interface Objective {
+  readonly kind: string;
+  readonly class: string | null;
+  readonly withinS: number | null;
+  readonly share: number | null;
+  readonly times: number | null;
+}
+
+/** The platform's settings file, as the controllers use it. */
+export interface Settings {
+  readonly node: NodeId;
+  readonly zone: string;
+  readonly listen: string;
+  readonly back: string;
+  readonly peers: readonly { readonly node: NodeId; readonly zone: string; readonly address: string }[];
+  readonly cloudAddress: string;
+  readonly stateAddress: string;
+  readonly teams: readonly Team[];
+  readonly objectives: readonly Objective[];
+  readonly workers: {
+    readonly reportS: number;
+    readonly leaseS: number;
+    readonly gangWaitS: number;
+    readonly gangPeerS: number;
+    readonly cancelS: number;
+  };
+  readonly state: {
+    readonly rps: number;
+    readonly writeRps: number;
+    readonly valueKb: number;
+    readonly txnOps: number;
+  };
+  readonly cloud: { readonly rps: number; readonly listLagS: number };
+  readonly maxSockets: number;
+}
+
+/** How long after its last confirmed contact a leader may still answer reports (docs/design.md). */
+export function answerHorizonMs(s: Settings): number {
+  return Math.max(0, (s.workers.cancelS - s.workers.leaseS) * 1000 - 2000);
+}
--- /dev/null
+++ b/packages/controller/src/view.ts
@@ -0,0 +1,97 @@
+import type { Ms } from '@spurbridge/net';
+import type { Placement } from '@spurbridge/model';
+import type { Job } from '@spurbridge/model';
+import type { JobView, MachineView, Occupant, Snapshot } from '@spurbridge/planner';
+import type { Leader } from './leader.js';
+
+/** Starting value of the design: seconds of summed waiting after which a job goes first. */
+const STARVATION_S = 30;
+/** Tasks of one job that one plan looks at. */
+const PLAN_TASKS = 200;
+
+function occupant(leader: Leader, job: Job, p: Placement, now: Ms, slowness: number): Occupant {
+  const spec = job.spec;
+  const expectedS = leader.estimates.expect(spec) * slowness;
+  const ranS = p.runningAt === null ? 0 : (now - p.runningAt) / 1000;
+  const overS = expectedS - ranS;
+  // Past its estimate, a task is expected to take a share longer of what it took already.
+  const remainingS = p.stop !== null ? 0.5 : overS > 0.5 ? overS : Math.max(0.5, ranS * 0.25);
+  return {
+    job: spec.id,
+    task: p.task,
+    cpus: spec.cpus,
+    gpus: spec.gpus,
+    memoryGb: spec.memoryGb,
+    remainingS: spec.kind === 'service' && p.stop === null ? Infinity : remainingS,
+    lostS: spec.checkpointS > 0 ? Math.min(ranS, 1) : (now - p.placedAt) / 1000,
+    priority: spec.priority,
+    team: spec.team,
+    stopping: p.stop !== null,
+    movable: spec.kind !== 'gang',
+  };
+}
+
+/** What the planner sees: everything that may be on a machine counts, also where none is heard. */
+export function snapshotOf(leader: Leader, now: Ms): Snapshot {
+  const { settings } = leader.c;
+  const machines: MachineView[] = [];
+  const freshMs = settings.workers.reportS * 1250 + 1500;
+  for (const m of leader.machines.values()) {
+    if (m.state === 'gone') continue;
+    const type = leader.type(m.type) ?? {
+      name: m.type,
+      cpus: 0,
+      gpus: 0,
+      memoryGb: 0,
+      cacheGb: 0,
+      fetchGbPerS: 1,
+      price: 0,
+      spotPrice: 0,
+      bootS: 0,
+      zones: [],
+    };
+    const occupants: Occupant[] = [];
+    for (const { job, task } of leader.heldOn(m.id)) {
+      const p = job.placements.get(task);
+      if (p !== undefined) occupants.push(occupant(leader, job, p, now, m.slowness));
+    }
+    machines.push({
+      id: m.id,
+      type,
+      zone: m.zone,
+      spot: m.spot,
+      takesTasks: m.takesTasks && now >= m.refusedUntil && m.heardAt !== null && now - m.heardAt < freshMs,
+      images: m.images,
+      slowness: m.slowness,
+      occupants,
+    });
+  }
+  const jobs: JobView[] = [];
+  let order = 0;
+  const active = [...leader.jobs.values()].filter((j) => j.state === 'active');
+  active.sort((a, b) => a.submittedAt - b.submittedAt);
+  for (const job of active) jobs.push(viewOf(leader, job, now, order++));
+  return { jobs, machines, teams: settings.teams, starvationS: STARVATION_S };
+}
+
+function viewOf(leader: Leader, job: Job, now: Ms, order: number): JobView {
+  const zones: string[] = [];
+  for (const p of job.placements.values()) zones.push(leader.machines.get(p.machine)?.zone ?? '');
+  // A gang starts as a whole: while any task of the old attempt may be there, none can.
+  const blocked = job.spec.kind === 'gang' && job.placements.size > 0;
+  const pending = blocked ? [] : job.pending(job.spec.kind === 'gang' ? job.spec.tasks : PLAN_TASKS);
+  const waitS = Math.max(0, now - Math.max(job.submittedAt, job.waitingSince)) / 1000;
+  return {
+    spec: job.spec,
+    pending,
+    pendingCount: job.pendingCount,
+    unfinished: job.spec.tasks - job.doneCount,
+    zones,
+    summedWaitS: waitS * job.pendingCount,
+    ageS: (now - job.submittedAt) / 1000,
+    estimateS: leader.estimates.expect(job.spec),
+    avoid: job.failedOn,
+    order,
+    startable: now >= job.notBefore,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,74 @@
+import { randomBytes } from 'node:crypto';
+import { HttpCloud } from '@spurbridge/cloud';
+import { Controller, HttpWorkerLink, buildServer } from '@spurbridge/controller';
+import type { Settings } from '@spurbridge/controller';
+import type { WallMs } from '@spurbridge/model';
+import { steadyClock } from '@spurbridge/net';
+import { HttpStateStore } from '@spurbridge/store';
+import { Command, Option } from 'commander';
+import { destination, pino } from 'pino';
+import manifest from '../package.json' with { type: 'json' };
+import { SettingsError, readSettings } from './settings.js';
+
+function levelFrom(variable: string | undefined): string {
+  return variable !== undefined && ['error', 'info', 'debug'].includes(variable) ? variable : 'info';
+}
+
+async function serve(settings: Settings, level: string): Promise<void> {
+  const log = pino(
+    { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
+    destination({ fd: 2, sync: true }),
+  );
+  const controller = new Controller({
+    settings,
+    store: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
+    cloud: new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock),
+    workers: new HttpWorkerLink(steadyClock),
+    clock: steadyClock,
+    wallNow: () => Date.now() as WallMs,
+    log,
+    incarnation: randomBytes(8).toString('hex'),
+  });
+  const app = buildServer(controller, log);
+  const colon = settings.listen.lastIndexOf(':');
+  await app.listen({
+    host: settings.listen.slice(0, colon),
+    port: Number(settings.listen.slice(colon + 1)),
+  });
+  log.info({ listen: settings.listen, back: settings.back, zone: settings.zone }, 'serving');
+  await controller.run();
+}
+
+const program = new Command('spurbridge')
+  .description('Cluster scheduler: one controller node')
+  .version(manifest.version)
+  .requiredOption('--config <file>', "the platform's settings file (TOML)")
+  .option('--check', 'check the settings and exit')
+  .addOption(
+    new Option('--log-level <level>', 'least severe level that is logged').choices([
+      'error',
+      'info',
+      'debug',
+    ]),
+  )
+  .action(async (options: { config: string; check?: boolean; logLevel?: string }) => {
+    let settings: Settings;
+    try {
+      settings = readSettings(options.config);
+    } catch (e) {
+      if (!(e instanceof SettingsError)) throw e;
+      process.stderr.write(`${e.message}\n`);
+      process.exitCode = 2;
+      return;
+    }
+    if (options.check === true) {
+      process.stdout.write(`settings of ${settings.node} are valid\n`);
+      return;
+    }
+    await serve(settings, options.logLevel ?? levelFrom(process.env['LOG_LEVEL']));
+  });
+
+program.parseAsync().catch((e: unknown) => {
+  process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
+  process.exitCode = 1;
+});
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,84 @@
+import { readFileSync } from 'node:fs';
+import type { Settings } from '@spurbridge/controller';
+import type { NodeId } from '@spurbridge/wire';
+import { MalformedError, read } from '@spurbridge/wire';
+import { parse } from 'smol-toml';
+
+/** What is wrong with a settings file, in one line. */
+export class SettingsError extends Error {}
+
+function section(o: read.Fields, field: string): read.Fields {
+  return read.asObject(o[field], field);
+}
+
+function address(o: read.Fields, field: string): string {
+  const text = read.str(o, field);
+  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(text)) throw new MalformedError(field, 'IPv4:port');
+  return text;
+}
+
+function list(o: read.Fields, field: string): read.Fields[] {
+  const v = o[field];
+  return v === undefined ? [] : read.asArray(v, field).map((e) => read.asObject(e, field));
+}
+
+export function parseSettings(text: string): Settings {
+  const o = parse(text) as read.Fields;
+  const services = section(o, 'services');
+  const cluster = section(o, 'cluster');
+  const workers = section(cluster, 'workers');
+  const state = section(cluster, 'state');
+  const cloud = section(cluster, 'cloud');
+  const resources = section(cluster, 'resources');
+  return {
+    node: read.name(o, 'label') as NodeId,
+    zone: read.name(o, 'domain'),
+    listen: address(o, 'listen'),
+    back: address(o, 'back'),
+    peers: list(o, 'peers').map((p) => ({
+      node: read.name(p, 'label') as NodeId,
+      zone: read.name(p, 'domain'),
+      address: address(p, 'address'),
+    })),
+    cloudAddress: address(services, 'cloud'),
+    stateAddress: address(services, 'state'),
+    teams: list(cluster, 'teams').map((t) => ({
+      name: read.name(t, 'name'),
+      cpus: read.amount(t, 'cpus'),
+      cpusMax: read.amount(t, 'cpus_max'),
+      gpus: read.optAmount(t, 'gpus') ?? 0,
+      gpusMax: read.optAmount(t, 'gpus_max') ?? 0,
+    })),
+    objectives: list(cluster, 'objectives').map((t) => ({
+      kind: read.str(t, 'kind'),
+      class: read.optStr(t, 'class'),
+      withinS: read.optAmount(t, 'within_s'),
+      share: read.optAmount(t, 'share'),
+      times: read.optAmount(t, 'times'),
+    })),
+    workers: {
+      reportS: read.amount(workers, 'report_s'),
+      leaseS: read.amount(workers, 'lease_s'),
+      gangWaitS: read.amount(workers, 'gang_wait_s'),
+      gangPeerS: read.amount(workers, 'gang_peer_s'),
+      cancelS: read.amount(workers, 'cancel_s'),
+    },
+    state: {
+      rps: read.amount(state, 'rps', 1),
+      writeRps: read.amount(state, 'write_rps', 1),
+      valueKb: read.amount(state, 'value_kb', 1),
+      txnOps: read.count(state, 'txn_ops', 2),
+    },
+    cloud: { rps: read.amount(cloud, 'rps'), listLagS: read.amount(cloud, 'list_lag_s') },
+    maxSockets: read.count(resources, 'sockets', 1),
+  };
+}
+
+export function readSettings(path: string): Settings {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'));
+  } catch (e) {
+    const first = (e instanceof Error ? e.message : String(e)).split('\n')[0] ?? '';
+    throw new SettingsError(`settings ${path}: ${first}`);
+  }
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,4 @@
+export * from './job.js';
+export * from './machine.js';
+export * from './record.js';
+export * from './admission.js';
--- /dev/null
+++ b/packages/model/src/job.ts
@@ -0,0 +1,262 @@
+import type { Ms } from '@spurbridge/net';
+import type { Attempt, JobSpec, MachineId, Session, TaskPhase, Version } from '@spurbridge/wire';
+import { ABSENT } from '@spurbridge/wire';
+import { Transitions } from './transition.js';
+
+/**
+ * What may be on a machine on behalf of one task, from the intent to the proof that it is gone.
+ * `intended`: not durable yet, no start may be sent. `starting`: durable, a start may be in flight.
+ */
+export type PlacementState = 'intended' | 'starting' | 'fetching' | 'waiting' | 'running' | 'saving' | 'gone';
+
+const LIVE: readonly PlacementState[] = ['fetching', 'waiting', 'running', 'saving', 'gone'];
+const placementTransitions = new Transitions<PlacementState>('placement', {
+  intended: ['starting', ...LIVE],
+  starting: LIVE,
+  fetching: ['starting', ...LIVE],
+  waiting: ['starting', ...LIVE],
+  running: ['starting', ...LIVE],
+  saving: ['starting', ...LIVE],
+  gone: [],
+});
+
+export interface Placement {
+  readonly task: number;
+  readonly machine: MachineId;
+  readonly session: Session;
+  readonly attempt: Attempt;
+  readonly state: PlacementState;
+  /** When the present state began. */
+  readonly since: Ms;
+  readonly placedAt: Ms;
+  /** Start of the run on this machine, once reported. */
+  readonly runningAt: Ms | null;
+  /** Set once a stop was decided; the grace that it is given. */
+  readonly stop: { readonly at: Ms; readonly graceS: number; readonly reason: StopReason } | null;
+}
+
+export type StopReason = 'cancelled' | 'preempted' | 'drained' | 'gang';
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+/** One record in the state service holds this many consecutive tasks. */
+export interface Chunk {
+  readonly index: number;
+  version: Version;
+  /** Increased by every change in memory; the record is durable when it equals `written`. */
+  edition: number;
+  written: number;
+  /** Attempts given so far. */
+  attempts: number;
+}
+
+/** active -> done | cancelled. `closing`: all tasks are done, the job's record does not say so yet. */
+export type JobState = 'active' | 'closing' | 'done' | 'cancelled';
+
+const jobTransitions = new Transitions<JobState>('job', {
+  active: ['closing', 'cancelled'],
+  closing: ['done', 'cancelled'],
+  done: [],
+  cancelled: [],
+});
+
+export class Job {
+  private phase: JobState = 'active';
+  private readonly doneTasks: Uint8Array;
+  private readonly live = new Map<number, Mutable<Placement>>();
+  private doneTotal = 0;
+  readonly chunks: Chunk[];
+  /** Consecutive failures of this job's tasks on different machines, without a success between. */
+  readonly failedOn = new Set<MachineId>();
+  errors = 0;
+  notBefore = 0 as Ms;
+  firstStartAt: Ms | null = null;
+  /** Lowest task that may be pending: a cursor for jobs with very many tasks. */
+  private cursor = 0;
+  /** Since when tasks of this job have waited. */
+  waitingSince: Ms;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly chunkSize: number,
+    public version: Version,
+    readonly submittedAt: Ms,
+  ) {
+    this.doneTasks = new Uint8Array(spec.tasks);
+    this.waitingSince = submittedAt;
+    this.chunks = Array.from({ length: Math.ceil(spec.tasks / chunkSize) }, (_, index) => ({
+      index,
+      version: ABSENT,
+      edition: 0,
+      written: 0,
+      attempts: 0,
+    }));
+  }
+
+  get state(): JobState {
+    return this.phase;
+  }
+
+  /** The only function that changes the job's state. */
+  enter(next: JobState): void {
+    if (next === this.phase) return;
+    jobTransitions.check(this.phase, next);
+    this.phase = next;
+  }
+
+  get doneCount(): number {
+    return this.doneTotal;
+  }
+
+  get placements(): ReadonlyMap<number, Placement> {
+    return this.live;
+  }
+
+  isDone(task: number): boolean {
+    return this.doneTasks[task] === 1;
+  }
+
+  chunkOf(task: number): Chunk {
+    const chunk = this.chunks[Math.floor(task / this.chunkSize)];
+    if (chunk === undefined) throw new Error(`${this.spec.id} has no task ${task}`);
+    return chunk;
+  }
+
+  isDurable(task: number): boolean {
+    const chunk = this.chunkOf(task);
+    return chunk.edition === chunk.written;
+  }
+
+  get pendingCount(): number {
+    return this.spec.tasks - this.doneTotal - this.live.size;
+  }
+
+  /** Up to `most` tasks that neither are done nor may be on a machine. */
+  pending(most: number): number[] {
+    const found: number[] = [];
+    if (this.phase !== 'active') return found;
+    while (this.cursor < this.spec.tasks && this.doneTasks[this.cursor] === 1) this.cursor += 1;
+    for (let t = this.cursor; t < this.spec.tasks && found.length < most; t += 1)
+      if (this.doneTasks[t] === 0 && !this.live.has(t)) found.push(t);
+    return found;
+  }
+
+  /** Records the intent to run a task; nothing may be sent before the chunk is durable. */
+  intend(
+    task: number,
+    machine: MachineId,
+    session: Session,
+    now: Ms,
+    sharedAttempt: Attempt | null,
+  ): Placement {
+    if (this.phase !== 'active' || this.isDone(task) || this.live.has(task))
+      throw new Error(`${this.spec.id}/${task} cannot be placed`);
+    const chunk = this.chunkOf(task);
+    const attempt = sharedAttempt ?? ((chunk.attempts + 1) as Attempt);
+    chunk.attempts = Math.max(chunk.attempts, attempt);
+    chunk.edition += 1;
+    const placement = {
+      task,
+      machine,
+      session,
+      attempt,
+      state: 'intended' as const,
+      since: now,
+      placedAt: now,
+      runningAt: null,
+      stop: null,
+    };
+    this.live.set(task, placement);
+    return placement;
+  }
+
+  /** The next attempt that all tasks of a gang share. */
+  nextGangAttempt(): Attempt {
+    return (Math.max(...this.chunks.map((c) => c.attempts)) + 1) as Attempt;
+  }
+
+  restoreChunk(index: number, version: Version, attempts: number): void {
+    const chunk = this.chunks[index];
+    if (chunk === undefined) return;
+    chunk.version = version;
+    chunk.attempts = attempts;
+  }
+
+  restoreDone(task: number): void {
+    if (task < this.spec.tasks && this.doneTasks[task] === 0) {
+      this.doneTasks[task] = 1;
+      this.doneTotal += 1;
+    }
+  }
+
+  restorePlacement(task: number, machine: MachineId, session: Session, attempt: Attempt, now: Ms): void {
+    this.live.set(task, {
+      task,
+      machine,
+      session,
+      attempt,
+      state: 'starting',
+      since: now,
+      placedAt: now,
+      runningAt: null,
+      stop: null,
+    });
+  }
+
+  /** The only function that changes a placement's state. */
+  private move(placement: Mutable<Placement>, next: PlacementState, now: Ms): void {
+    if (placement.state === next) return;
+    placementTransitions.check(placement.state, next);
+    placement.state = next;
+    placement.since = now;
+    if (next === 'running') placement.runningAt ??= now;
+  }
+
+  /** The intent is durable: starts may go out from here on. */
+  durable(task: number, attempt: Attempt, now: Ms): void {
+    const p = this.live.get(task);
+    if (p !== undefined && p.attempt === attempt && p.state === 'intended') this.move(p, 'starting', now);
+  }
+
+  reported(task: number, phase: Exclude<TaskPhase, 'exited'>, now: Ms): void {
+    const p = this.live.get(task);
+    if (p === undefined) return;
+    this.move(p, phase, now);
+    if (phase === 'running' && this.firstStartAt === null) this.firstStartAt = now;
+  }
+
+  /** The task is not on the machine (any more): proven by the machine, its session or the cloud. */
+  gone(task: number, done: boolean, now: Ms): void {
+    const p = this.live.get(task);
+    if (p === undefined) return;
+    this.move(p, 'gone', now);
+    this.live.delete(task);
+    this.chunkOf(task).edition += 1;
+    if (done) this.restoreDone(task);
+    else {
+      this.cursor = Math.min(this.cursor, task);
+      this.waitingSince = now;
+    }
+  }
+
+  askStop(task: number, graceS: number, reason: StopReason, now: Ms): void {
+    const p = this.live.get(task);
+    if (p === undefined) return;
+    // A cancellation overrides a stop with grace: nobody has any use for what would be saved.
+    if (p.stop === null || (reason === 'cancelled' && p.stop.reason !== 'cancelled'))
+      p.stop = { at: now, graceS, reason };
+  }
+
+  doneRanges(chunk: Chunk): string {
+    const parts: string[] = [];
+    const end = Math.min(this.spec.tasks, (chunk.index + 1) * this.chunkSize);
+    for (let t = chunk.index * this.chunkSize; t < end; t += 1) {
+      if (this.doneTasks[t] === 0) continue;
+      let last = t;
+      while (last + 1 < end && this.doneTasks[last + 1] === 1) last += 1;
+      parts.push(last === t ? `${t}` : `${t}-${last}`);
+      t = last;
+    }
+    return parts.join(',');
+  }
+}
--- /dev/null
+++ b/packages/model/src/record.ts
@@ -0,0 +1,79 @@
+import type { Ms } from '@spurbridge/net';
+import type { Attempt, Brand, JobId, JobPhase, JobSpec, MachineId, Session, Version } from '@spurbridge/wire';
+import { formatSubmission, parseSubmission, read } from '@spurbridge/wire';
+import type { Chunk } from './job.js';
+import { Job } from './job.js';
+
+/** Time of day in milliseconds, true only within the platform's clock error. */
+export type WallMs = Brand<number, 'WallMs'>;
+
+export const JOB_PREFIX = 'j/';
+export const TASKS_PREFIX = 't/';
+
+export function jobKey(id: JobId): string {
+  return JOB_PREFIX + id;
+}
+
+export function chunkKey(id: JobId, index: number): string {
+  return `${TASKS_PREFIX}${id}/${index}`;
+}
+
+/** What the state service knows of a job as a whole. Any node writes it; tasks have their own records. */
+export interface JobRecord {
+  readonly spec: JobSpec;
+  readonly phase: 'active' | 'done' | 'cancelled';
+  readonly at: WallMs;
+  readonly chunkSize: number;
+}
+
+export function encodeJob(r: JobRecord): Record<string, unknown> {
+  return { spec: formatSubmission(r.spec), phase: r.phase, at: r.at, chunk: r.chunkSize };
+}
+
+export function decodeJob(value: unknown): JobRecord {
+  const o = read.asObject(value, 'job record');
+  return {
+    spec: parseSubmission(o['spec']),
+    phase: read.oneOf(o, 'phase', ['active', 'done', 'cancelled']),
+    at: read.amount(o, 'at') as WallMs,
+    chunkSize: read.count(o, 'chunk', 1),
+  };
+}
+
+export function userPhase(record: JobRecord, running: number): JobPhase {
+  if (record.phase !== 'active') return record.phase;
+  return running > 0 ? 'running' : 'queued';
+}
+
+const TASK_BYTES = 48;
+const MAX_CHUNK = 256;
+
+/** Tasks per record, so that even with every task placed it fits one value. */
+export function chunkSizeFor(valueKb: number): number {
+  return Math.max(1, Math.min(MAX_CHUNK, Math.floor((valueKb * 1024 - 256) / TASK_BYTES)));
+}
+
+export function encodeChunk(job: Job, chunk: Chunk): Record<string, unknown> {
+  const first = chunk.index * job.chunkSize;
+  const placed: unknown[] = [];
+  for (let t = first; t < Math.min(first + job.chunkSize, job.spec.tasks); t += 1) {
+    const p = job.placements.get(t);
+    if (p !== undefined) placed.push([t, p.machine, p.session, p.attempt]);
+  }
+  return { tries: chunk.attempts, done: job.doneRanges(chunk), placed };
+}
+
+/** Puts a task record's content back into the job that it belongs to. */
+export function restoreChunk(job: Job, index: number, value: unknown, version: Version, now: Ms): void {
+  const o = read.asObject(value, 'task record');
+  job.restoreChunk(index, version, read.count(o, 'tries'));
+  for (const part of read.str(o, 'done').split(',')) {
+    if (part === '') continue;
+    const [first, last] = part.split('-').map(Number);
+    for (let t = first as number; t <= (last ?? (first as number)); t += 1) job.restoreDone(t);
+  }
+  for (const entry of read.asArray(o['placed'], 'placed')) {
+    const [task, machine, session, attempt] = read.asArray(entry, 'placed');
+    job.restorePlacement(task as number, machine as MachineId, session as Session, attempt as Attempt, now);
+  }
+}
--- /dev/null
+++ b/packages/net/src/http.ts
@@ -0,0 +1,99 @@
+import http from 'node:http';
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** No answer: the request may or may not have been executed, now or later. */
+export class NoAnswerError extends Error {
+  constructor(
+    reason: string,
+    /** True when the request certainly never left this process. */
+    readonly notSent: boolean,
+  ) {
+    super(reason);
+  }
+}
+
+export type HttpMethod = 'GET' | 'POST' | 'DELETE';
+
+/** JSON over HTTP/1.1 to one address, on a few kept-open connections. */
+export class JsonClient {
+  private readonly agent: http.Agent;
+  private readonly host: string;
+  private readonly port: number;
+
+  constructor(address: string, maxSockets: number) {
+    const colon = address.lastIndexOf(':');
+    this.host = address.slice(0, colon);
+    this.port = Number(address.slice(colon + 1));
+    this.agent = new http.Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets });
+  }
+
+  call(method: HttpMethod, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer> {
+    return new Promise((resolve, reject) => {
+      const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+      let connected = false;
+      let settled = false;
+      const fail = (reason: string): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        reject(new NoAnswerError(reason, !connected));
+        request.destroy();
+      };
+      const request = http.request(
+        {
+          agent: this.agent,
+          host: this.host,
+          port: this.port,
+          method,
+          path,
+          headers:
+            payload === undefined
+              ? {}
+              : { 'content-type': 'application/json', 'content-length': payload.length },
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          response.on('data', (c: Buffer) => chunks.push(c));
+          response.on('error', (e) => {
+            fail(e.message);
+          });
+          response.on('aborted', () => {
+            fail('aborted');
+          });
+          response.on('end', () => {
+            if (settled) return;
+            settled = true;
+            clearTimeout(timer);
+            const text = Buffer.concat(chunks).toString('utf8');
+            let parsed: unknown = null;
+            try {
+              parsed = text === '' ? null : JSON.parse(text);
+            } catch {
+              parsed = null;
+            }
+            resolve({ status: response.statusCode ?? 0, body: parsed });
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        fail(`no answer within ${timeoutMs} ms`);
+      }, timeoutMs);
+      request.on('socket', (socket) => {
+        if (socket.connecting) socket.once('connect', () => (connected = true));
+        else connected = true;
+      });
+      request.on('error', (e) => {
+        fail(e.message);
+      });
+      request.end(payload);
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/net/src/index.ts
@@ -0,0 +1,3 @@
+export * from './clock.js';
+export * from './budget.js';
+export * from './http.js';
--- /dev/null
+++ b/packages/planner/src/fleet.ts
@@ -0,0 +1,186 @@
+import { fitsType } from '@spurbridge/model';
+import type { MachineId, MachineType } from '@spurbridge/wire';
+import type { Unmet } from './plan.js';
+
+export interface FleetMachine {
+  readonly id: MachineId;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly booting: boolean;
+  /** May be given back when it is not needed. */
+  readonly returnable: boolean;
+  readonly idleS: number;
+  readonly usedCpus: number;
+  readonly takesTasks: boolean;
+}
+
+export interface FleetPolicy {
+  /** An empty machine is kept this long. */
+  readonly idleS: number;
+  /** CPUs, in use or free, that the recent past says will be needed. */
+  readonly targetCpus: number;
+  readonly targetOrdinaryCpus: number;
+  /** Work that would start within this share of a machine's boot time is left to the queue. */
+  readonly bootShare: number;
+}
+
+export interface FleetInput {
+  readonly types: readonly MachineType[];
+  readonly machines: readonly FleetMachine[];
+  readonly unmet: readonly Unmet[];
+  readonly policy: FleetPolicy;
+  /** False while a type, zone and kind was lately refused for want of capacity. */
+  readonly available: (type: string, zone: string, spot: boolean) => boolean;
+}
+
+export interface Rent {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+export interface FleetPlan {
+  readonly rent: readonly Rent[];
+  readonly release: readonly MachineId[];
+}
+
+interface Coming {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** What to rent for work that no machine can take soon, and which empty machines to give back. */
+export function planFleet(input: FleetInput): FleetPlan {
+  const coming: Coming[] = input.machines
+    .filter((m) => m.booting)
+    .map((m) => ({
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      cpus: m.type.cpus,
+      gpus: m.type.gpus,
+      memoryGb: m.type.memoryGb,
+    }));
+  const rents = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+  const perZone = new Map<string, number>();
+  for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
+  for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
+  return { rent: [...rents.values()], release: surplus(input) };
+}
+
+function meet(
+  input: FleetInput,
+  u: Unmet,
+  coming: Coming[],
+  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
+  perZone: Map<string, number>,
+): void {
+  const spec = u.job.spec;
+  let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? null) : null);
+  const inZone = new Map<string, number>();
+  for (const z of u.job.zones) inZone.set(z, (inZone.get(z) ?? 0) + 1);
+  const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+  let left = u.tasks;
+  const allowed = (type: MachineType, z: string, spot: boolean): boolean =>
+    fitsType(spec, type) &&
+    (zone === null || z === zone) &&
+    (!spot || spec.spot) &&
+    (inZone.get(z) ?? 0) < zoneMost;
+  const takeFrom = (c: Coming): void => {
+    while (
+      left > 0 &&
+      c.cpus >= spec.cpus &&
+      c.gpus >= spec.gpus &&
+      c.memoryGb >= spec.memoryGb &&
+      (inZone.get(c.zone) ?? 0) < zoneMost
+    ) {
+      c.cpus -= spec.cpus;
+      c.gpus -= spec.gpus;
+      c.memoryGb -= spec.memoryGb;
+      inZone.set(c.zone, (inZone.get(c.zone) ?? 0) + 1);
+      left -= 1;
+    }
+  };
+  for (const c of coming) {
+    if (left === 0) return;
+    if (allowed(c.type, c.zone, c.spot)) takeFrom(c);
+  }
+  const slackS =
+    spec.deadlineS === null || u.guaranteed
+      ? 0
+      : Math.max(0, spec.deadlineS - u.job.ageS - u.job.estimateS * 1.5 - u.startsInS);
+  while (left > 0) {
+    let best: { type: MachineType; zone: string; spot: boolean; score: number } | null = null;
+    for (const type of input.types) {
+      // A machine that would be ready no sooner than the queue gets there is not worth its price.
+      if (u.startsInS < type.bootS * input.policy.bootShare) continue;
+      if (slackS > type.bootS) continue;
+      const zones = type.zones.length > 0 ? type.zones : [...perZone.keys()];
+      for (const z of zones)
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
+          const fit = Math.min(
+            left,
+            Math.floor(type.cpus / Math.max(spec.cpus, 1e-9)),
+            Math.floor(type.memoryGb / Math.max(spec.memoryGb, 1e-9)),
+            spec.gpus > 0 ? Math.floor(type.gpus / spec.gpus) : Infinity,
+          );
+          if (fit < 1) continue;
+          const price = spot ? type.spotPrice : type.price;
+          const crowd = (perZone.get(z) ?? 0) * 1e-5;
+          const score = (price / fit) * (1 + type.bootS / 400) + crowd;
+          if (best === null || score < best.score) best = { type, zone: z, spot, score };
+        }
+    }
+    if (best === null) return;
+    if (spec.oneZone) zone = best.zone;
+    const key = `${best.type.name}/${best.zone}/${best.spot}`;
+    const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: best.spot, count: 0 };
+    rent.count += 1;
+    rents.set(key, rent);
+    perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + best.type.cpus);
+    const c: Coming = {
+      type: best.type,
+      zone: best.zone,
+      spot: best.spot,
+      cpus: best.type.cpus,
+      gpus: best.type.gpus,
+      memoryGb: best.type.memoryGb,
+    };
+    coming.push(c);
+    const before = left;
+    takeFrom(c);
+    if (left === before) return;
+  }
+}
+
+function surplus(input: FleetInput): MachineId[] {
+  const { policy } = input;
+  if (input.unmet.some((u) => u.withinLimit)) return [];
+  let total = 0;
+  let ordinary = 0;
+  for (const m of input.machines) {
+    if (!m.takesTasks && !m.booting) continue;
+    total += m.type.cpus;
+    if (!m.spot) ordinary += m.type.cpus;
+  }
+  const price = (m: FleetMachine): number => (m.spot ? m.type.spotPrice : m.type.price) / m.type.cpus;
+  const release: MachineId[] = [];
+  const idle = input.machines
+    .filter((m) => m.returnable && m.usedCpus === 0 && m.takesTasks && m.idleS >= policy.idleS)
+    .sort((a, b) => price(b) - price(a));
+  for (const m of idle) {
+    if (total - m.type.cpus < policy.targetCpus) continue;
+    if (!m.spot && ordinary - m.type.cpus < policy.targetOrdinaryCpus) continue;
+    total -= m.type.cpus;
+    if (!m.spot) ordinary -= m.type.cpus;
+    release.push(m.id);
+  }
+  return release;
+}
--- /dev/null
+++ b/packages/planner/src/index.ts
@@ -0,0 +1,3 @@
+export * from './snapshot.js';
+export * from './plan.js';
+export * from './fleet.js';
--- /dev/null
+++ b/packages/planner/src/snapshot.ts
@@ -0,0 +1,60 @@
+import type { Team } from '@spurbridge/model';
+import type { JobId, JobSpec, MachineId, MachineType, Priority } from '@spurbridge/wire';
+
+/** Something that may be on a machine. */
+export interface Occupant {
+  readonly job: JobId;
+  readonly task: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  /** Estimated seconds until it ends; Infinity for a service. */
+  readonly remainingS: number;
+  /** Seconds of work that a stop would throw away. */
+  readonly lostS: number;
+  readonly priority: Priority;
+  readonly team: string;
+  readonly stopping: boolean;
+  /** Whether a single task may be stopped alone (not so in a gang). */
+  readonly movable: boolean;
+}
+
+export interface MachineView {
+  readonly id: MachineId;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly takesTasks: boolean;
+  readonly images: ReadonlyMap<string, number>;
+  readonly slowness: number;
+  readonly occupants: readonly Occupant[];
+}
+
+export interface JobView {
+  readonly spec: JobSpec;
+  /** Tasks that may be placed now, at most a plan's worth. */
+  readonly pending: readonly number[];
+  readonly pendingCount: number;
+  readonly unfinished: number;
+  /** Zone of every task that may be on a machine. */
+  readonly zones: readonly string[];
+  /** Summed waiting time of its waiting tasks. */
+  readonly summedWaitS: number;
+  readonly ageS: number;
+  /** The owner's estimate, corrected by what its class was seen to take. */
+  readonly estimateS: number;
+  readonly avoid: ReadonlySet<MachineId>;
+  /** Order of submission. */
+  readonly order: number;
+  /** Whether its tasks may be placed at this moment (not while it backs off after failures). */
+  readonly startable: boolean;
+}
+
+export interface Snapshot {
+  readonly jobs: readonly JobView[];
+  readonly machines: readonly MachineView[];
+  readonly teams: readonly Team[];
+  readonly starvationS: number;
+}
+
+export const PRIORITY_ORDER: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,2 @@
+export * from './client.js';
+export * from './lease.js';
--- /dev/null
+++ b/packages/store/src/lease.ts
@@ -0,0 +1,224 @@
+import type { Clock, Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { LeaseId, NodeId, Token, Version } from '@spurbridge/wire';
+import { ABSENT, read } from '@spurbridge/wire';
+import type { StateStore } from './client.js';
+
+export const LEADER_KEY = 'leader';
+const TTL_MS = 3000;
+const RENEW_MS = 800;
+const RETRY_MS = 200;
+const TRUSTED_DRIFT = 0.001;
+const MARGIN_MS = 150;
+
+/**
+ * following -> campaigning -> leading -> holding -> following.
+ * `holding`: the lease may be over, but no other leader is known. Reports may still be answered with
+ * the old token and without orders, up to a horizon (see docs/design.md), nothing else.
+ */
+export type LeadershipState = 'following' | 'campaigning' | 'leading' | 'holding';
+
+export interface LeadershipEvents {
+  elected(token: Token): void;
+  /** The lease is again surely held after a spell of `holding`. */
+  resumed(): void;
+  deposed(reason: string): void;
+  log(message: string, fields: Record<string, unknown>): void;
+}
+
+const TRANSITIONS: Record<LeadershipState, readonly LeadershipState[]> = {
+  following: ['campaigning'],
+  campaigning: ['leading', 'following'],
+  leading: ['holding', 'following'],
+  holding: ['leading', 'following'],
+};
+
+export class Leadership {
+  private current: LeadershipState = 'following';
+  private lease: LeaseId | null = null;
+  private confirmedAt: Ms | null = null;
+  private stopped = false;
+  private ownToken = 0 as Token;
+  /** The highest token known, and whose it is. */
+  private seen: { token: Token; node: NodeId } | null = null;
+
+  constructor(
+    private readonly store: StateStore,
+    private readonly clock: Clock,
+    private readonly self: NodeId,
+    private readonly incarnation: string,
+    private readonly events: LeadershipEvents,
+  ) {}
+
+  get state(): LeadershipState {
+    return this.current;
+  }
+
+  get token(): Token {
+    return this.ownToken;
+  }
+
+  /** The only function that changes the state. */
+  private enter(next: LeadershipState, reason: string): void {
+    if (next === this.current) return;
+    if (!TRANSITIONS[this.current].includes(next))
+      throw new Error(`leadership: ${this.current} -> ${next} is no transition`);
+    const before = this.current;
+    this.current = next;
+    this.events.log('leadership', { from: before, to: next, reason, token: this.ownToken });
+    if (next === 'leading' && before === 'campaigning') this.events.elected(this.ownToken);
+    if (next === 'leading' && before === 'holding') this.events.resumed();
+    if (next === 'following') {
+      const wasLeader = before === 'leading' || before === 'holding';
+      this.lease = null;
+      this.confirmedAt = null;
+      if (wasLeader) this.events.deposed(reason);
+    }
+  }
+
+  /** Whether the lease is surely held now, by our own steady clock counted from the sending. */
+  holdsSurely(): boolean {
+    return this.current === 'leading' && this.clock.now() < this.validUntil();
+  }
+
+  private validUntil(): number {
+    return this.confirmedAt === null ? 0 : later(this.confirmedAt, TTL_MS * (1 - TRUSTED_DRIFT) - MARGIN_MS);
+  }
+
+  /** Time since the lease was last confirmed, counted from the sending of the renewal. */
+  sinceConfirmed(): number {
+    return this.confirmedAt === null ? Infinity : this.clock.now() - this.confirmedAt;
+  }
+
+  leader(): { token: Token; node: NodeId } | null {
+    return this.seen;
+  }
+
+  /** Called with every token that a peer or a worker shows. */
+  observe(token: Token, node: NodeId | null): void {
+    if (this.seen !== null && token < this.seen.token) return;
+    if (node !== null) this.seen = { token, node };
+    else if (this.seen === null || token > this.seen.token) this.seen = null;
+    if (token > this.ownToken && (this.current === 'leading' || this.current === 'holding'))
+      this.enter('following', 'a higher token was shown');
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Gives leadership up of its own accord, so that another node can lead. */
+  async resign(reason: string): Promise<void> {
+    const lease = this.lease;
+    if (this.current !== 'leading' && this.current !== 'holding') return;
+    this.enter('following', reason);
+    if (lease !== null) await this.store.endLease(lease);
+  }
+
+  /** A commit conditioned on the leader key failed on it: somebody else leads, or nobody. */
+  lost(reason: string): void {
+    if (this.current === 'leading' || this.current === 'holding') this.enter('following', reason);
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      if (this.current === 'leading' || this.current === 'holding') await this.renew();
+      else await this.follow();
+    }
+  }
+
+  private async renew(): Promise<void> {
+    const lease = this.lease;
+    const sentAt = this.clock.now();
+    if (lease === null) return;
+    // The lease is watched by the clock too: an answer that never comes must not keep us leading.
+    const renewal = this.store.renewLease(lease);
+    const outcome = await Promise.race([
+      renewal,
+      this.clock.sleep(700).then(() => ({ outcome: 'unknown' as const })),
+    ]);
+    if (this.lease !== lease) return;
+    if (outcome.outcome === 'renewed') {
+      this.confirmedAt = sentAt;
+      if (this.current === 'holding') this.enter('leading', 'the lease was confirmed again');
+      await this.pause(RENEW_MS);
+      return;
+    }
+    if (outcome.outcome === 'ended') {
+      this.enter('following', 'the lease ended');
+      return;
+    }
+    if (this.current === 'leading' && this.clock.now() >= this.validUntil())
+      this.enter('holding', 'the lease could not be confirmed');
+    await this.pause(RETRY_MS);
+  }
+
+  private async pause(ms: number): Promise<void> {
+    await this.clock.sleep(ms);
+    if (this.current === 'leading' && this.clock.now() >= this.validUntil())
+      this.enter('holding', 'the lease could not be confirmed');
+  }
+
+  private async follow(): Promise<void> {
+    const found = await this.store.read(LEADER_KEY, 0);
+    if (found.outcome === 'absent') {
+      await this.campaign();
+      return;
+    }
+    if (found.outcome !== 'found') {
+      await this.clock.sleep(RETRY_MS * 1.5);
+      return;
+    }
+    const value = read.asObject(found.item.value, LEADER_KEY);
+    if (value['incarnation'] === this.incarnation && value['node'] === this.self) {
+      // Our own commit, whose answer was lost or whose leadership we gave up: let it run out.
+      await this.clock.sleep(RETRY_MS);
+      return;
+    }
+    this.observe(found.item.version as number as Token, read.str(value, 'node') as NodeId);
+    const watched = await this.store.watch(
+      LEADER_KEY,
+      found.item.version as number as Parameters<StateStore['watch']>[1],
+      2000,
+    );
+    if (watched.outcome !== 'events') await this.clock.sleep(RETRY_MS);
+  }
+
+  private async campaign(): Promise<void> {
+    this.enter('campaigning', 'nobody leads');
+    const sentAt = this.clock.now();
+    const granted = await this.store.grantLease(TTL_MS);
+    if (granted.outcome !== 'granted') {
+      this.enter('following', 'no lease was granted');
+      await this.clock.sleep(RETRY_MS);
+      return;
+    }
+    const committed = await this.store.commit(
+      [{ key: LEADER_KEY, version: ABSENT }],
+      [
+        {
+          put: LEADER_KEY,
+          value: { node: this.self, incarnation: this.incarnation },
+          lease: granted.lease,
+        },
+      ],
+      0,
+    );
+    if (committed.outcome !== 'committed') {
+      this.enter('following', `the campaign ended: ${committed.outcome}`);
+      // The lease is ended whatever happened, so that a commit applied late is removed with it.
+      await this.store.endLease(granted.lease);
+      return;
+    }
+    this.lease = granted.lease;
+    this.confirmedAt = sentAt;
+    this.ownToken = committed.revision as number as Token;
+    this.seen = { token: this.ownToken, node: this.self };
+    this.enter('leading', 'the campaign was won');
+  }
+
+  /** Condition of every leader write. */
+  condition(): { key: string; version: Version } {
+    return { key: LEADER_KEY, version: this.ownToken as number as Version };
+  }
+}
--- /dev/null
+++ b/packages/wire/src/cloud.ts
@@ -0,0 +1,84 @@
+import type { MachineId } from './ids.js';
+import * as r from './read.js';
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly bootS: number;
+  readonly zones: readonly string[];
+}
+
+export type MachinePhase = 'booting' | 'running' | 'failed';
+
+export interface ListedMachine {
+  readonly id: MachineId;
+  readonly address: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly phase: MachinePhase;
+  readonly ageS: number;
+}
+
+export function parseTypes(body: unknown): readonly MachineType[] {
+  return r.asArray(r.asObject(body, 'body')['builds'], 'builds').map((v) => {
+    const o = r.asObject(v, 'builds');
+    return {
+      name: r.name(o, 'sku'),
+      cpus: r.amount(o, 'cpus'),
+      gpus: r.optAmount(o, 'accelerators') ?? 0,
+      memoryGb: r.amount(o, 'memGb'),
+      cacheGb: r.optAmount(o, 'cacheGb') ?? 0,
+      fetchGbPerS: r.amount(o, 'fetchGbPerS'),
+      price: r.amount(o, 'hourly'),
+      spotPrice: r.optAmount(o, 'marketPrice') ?? r.amount(o, 'hourly'),
+      bootS: r.amount(o, 'readyS'),
+      zones: r.optNames(o, 'yards') ?? [],
+    };
+  });
+}
+
+const PHASES: Record<string, MachinePhase> = { starting: 'booting', running: 'running', failed: 'failed' };
+
+export function parseMachineList(body: unknown): { machines: readonly ListedMachine[]; more: boolean } {
+  const o = r.asObject(body, 'body');
+  const machines = r.asArray(o['rigs'], 'rigs').map((v) => {
+    const m = r.asObject(v, 'rigs');
+    return {
+      id: r.name(m, 'nameId') as MachineId,
+      address: r.optStr(m, 'address') ?? '',
+      type: r.str(m, 'build'),
+      zone: r.str(m, 'yard'),
+      spot: r.optBool(m, 'loaners'),
+      phase: PHASES[r.oneOf(m, 'phase', ['starting', 'running', 'failed'])] as MachinePhase,
+      ageS: r.amount(m, 'ageS'),
+    };
+  });
+  return { machines, more: r.optBool(o, 'more') };
+}
+
+export interface RentalRequest {
+  readonly request: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+export function formatRental(q: RentalRequest): Record<string, unknown> {
+  return { hire: q.request, build: q.type, yard: q.zone, loaners: q.spot, count: q.count };
+}
+
+export function parseRental(body: unknown): readonly MachineId[] {
+  return (r.optNames(r.asObject(body, 'body'), 'rigs') ?? []) as readonly MachineId[];
+}
+
+export function formatRelease(machines: readonly MachineId[]): Record<string, unknown> {
+  return { rigs: machines };
+}
