--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -8,3 +8,4 @@
 export * from './estimates.js';
 export { compareIds } from './fleet.js';
 export { Peers, peerMessages } from './peers.js';
+export type { PeerLink } from './peers.js';
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -15,7 +15,7 @@
 import { JobService } from './jobs.js';
 import { Leader } from './leader.js';
 import type { Log } from './log.js';
-import { Peers } from './peers.js';
+import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
 import { answerHorizonMs } from './settings.js';
 import type { WorkerLink } from './worker-link.js';
@@ -29,6 +29,7 @@
   readonly clock: Clock;
   readonly wallNow: () => WallMs;
   readonly log: Log;
+  readonly link: (status: () => PeerMessage, receive: (message: PeerMessage) => void) => PeerLink;
   /** Tells this process from earlier ones of the same node. */
   readonly incarnation: string;
 }
@@ -46,7 +47,7 @@
 export class Controller {
   readonly jobs: JobService;
   readonly leadership: Leadership;
-  private readonly peers: Peers;
+  private readonly peers: PeerLink;
   private leader: Leader | null = null;
   private machineTypes: readonly MachineType[] = [];
   private readonly progress = new Map<JobId, JobProgress>();
@@ -69,12 +70,9 @@
         log.info(fields, message);
       },
     });
-    this.peers = new Peers(
-      settings.peers,
-      clock,
-      log,
+    this.peers = parts.link(
       () => this.status(),
-      (_from, message) => {
+      (message) => {
         this.onPeer(message);
       },
     );
@@ -88,7 +86,7 @@
   }
 
   async run(): Promise<void> {
-    await Promise.all([this.leadership.run(), this.learnTypes(), this.peers.run(this.parts.settings.back)]);
+    await Promise.all([this.leadership.run(), this.learnTypes(), this.peers.run()]);
   }
 
   private elected(token: Token): void {
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -81,8 +81,16 @@
   }
 }
 
+/** What the controller needs of the link; the stand-in of `testkit` implements it too. */
+export interface PeerLink {
+  broadcast(message: PeerMessage): void;
+  /** Whether a peer that was lately heard is served by the state service. */
+  someoneServed(): boolean;
+  run(): Promise<void>;
+}
+
 /** The controller-to-controller link: hints only, never needed for keeping a rule. */
-export class Peers {
+export class Peers implements PeerLink {
   private readonly links: Link[];
   private readonly heardAt = new Map<string, { at: number; stateOk: boolean }>();
 
@@ -91,7 +99,8 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly status: () => PeerMessage,
-    private readonly receive: (from: NodeId | null, message: PeerMessage) => void,
+    private readonly receive: (message: PeerMessage) => void,
+    private readonly listen: string,
   ) {
     this.links = peers.map((p) => new Link(p.node, p.address, clock, log));
   }
@@ -100,22 +109,21 @@
     for (const link of this.links) link.send(message);
   }
 
-  /** Whether a peer that was lately heard is served by the state service. */
   someoneServed(): boolean {
     const now = this.clock.now();
     for (const h of this.heardAt.values()) if (h.stateOk && now - h.at < SILENT_MS) return true;
     return false;
   }
 
-  async run(listen: string): Promise<void> {
-    const colon = listen.lastIndexOf(':');
+  async run(): Promise<void> {
+    const colon = this.listen.lastIndexOf(':');
     const server = net.createServer({ noDelay: true }, (socket) => {
       this.serve(socket).catch((e: unknown) => {
         this.log.debug({ error: String(e) }, 'peer connection ended');
         socket.destroy();
       });
     });
-    server.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon));
+    server.listen(Number(this.listen.slice(colon + 1)), this.listen.slice(0, colon));
     for (const link of this.links)
       link.run(this.status).catch((e: unknown) => {
         this.log.error({ error: String(e) }, 'peer link failed');
@@ -127,13 +135,11 @@
   }
 
   private async serve(socket: net.Socket): Promise<void> {
-    let from: NodeId | null = null;
     for await (const message of peerMessages(socket)) {
-      if (message.status !== undefined) {
-        from = message.status.node;
-        this.heardAt.set(from, { at: this.clock.now(), stateOk: message.status.stateOk });
-      }
-      this.receive(from, message);
+      const { status } = message;
+      if (status !== undefined)
+        this.heardAt.set(status.node, { at: this.clock.now(), stateOk: status.stateOk });
+      this.receive(message);
     }
   }
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { HttpCloud } from '@spurbridge/cloud';
-import { Controller, HttpWorkerLink, buildServer } from '@spurbridge/controller';
+import { Controller, HttpWorkerLink, Peers, buildServer } from '@spurbridge/controller';
 import type { Settings } from '@spurbridge/controller';
 import type { WallMs } from '@spurbridge/model';
 import { steadyClock } from '@spurbridge/net';
@@ -27,6 +27,7 @@
     clock: steadyClock,
     wallNow: () => Date.now() as WallMs,
     log,
+    link: (status, receive) => new Peers(settings.peers, steadyClock, log, status, receive, settings.back),
     incarnation: randomBytes(8).toString('hex'),
   });
   const app = buildServer(controller, log);
--- /dev/null
+++ b/packages/testkit/src/checker.ts
@@ -0,0 +1,141 @@
+import type { Team } from '@spurbridge/model';
+import type { Attempt, JobId, JobPhase, JobSpec, MachineId } from '@spurbridge/wire';
+
+export interface Broken {
+  readonly rule: string;
+  readonly atMs: number;
+  readonly what: string;
+}
+
+interface On {
+  readonly job: JobSpec;
+  readonly task: number;
+  readonly attempt: Attempt;
+  readonly machine: MachineId;
+  readonly zone: string;
+}
+
+const EPSILON = 1e-6;
+
+/** Judges what machines do and what users are told against the rules of the protocol. */
+export class RuleChecker {
+  readonly broken: Broken[] = [];
+  readonly submitted = new Map<JobId, JobSpec>();
+  private readonly accepted = new Set<JobId>();
+  private readonly toldCancelled = new Map<JobId, number>();
+  private readonly toldDone = new Set<JobId>();
+  private readonly askedCancel = new Set<JobId>();
+  private readonly doneTasks = new Map<JobId, Set<number>>();
+  private readonly on = new Map<string, On>();
+  starts = 0;
+
+  constructor(
+    private readonly now: () => number,
+    private readonly teams: readonly Team[],
+    private readonly cancelMs: number,
+  ) {}
+
+  private breaks(rule: string, what: string): void {
+    this.broken.push({ rule, atMs: Math.round(this.now()), what });
+  }
+
+  /** The task has its image and is on the machine from now on. */
+  started(
+    job: JobSpec,
+    task: number,
+    attempt: Attempt,
+    machine: Omit<On, 'job' | 'task' | 'attempt'> & { type: string; spot: boolean },
+  ): void {
+    this.starts += 1;
+    const name = `${job.id}/${task}`;
+    const other = [...this.on.values()].find((o) => o.job.id === job.id && o.task === task);
+    if (other !== undefined) this.breaks('ran_twice', `${name} on ${other.machine} and ${machine.machine}`);
+    const mates = [...this.on.values()].filter((o) => o.job.id === job.id);
+    const here = mates.filter((o) => o.zone === machine.zone).length;
+    if (
+      (job.types !== null && !job.types.includes(machine.type)) ||
+      (job.zone !== null && job.zone !== machine.zone) ||
+      (!job.spot && machine.spot) ||
+      (job.oneZone && mates.some((o) => o.zone !== machine.zone)) ||
+      (job.spread && here + 1 > Math.ceil(job.tasks / 2))
+    )
+      this.breaks('wrong_place', `${name} on ${machine.machine}`);
+    this.on.set(`${machine.machine}:${name}`, {
+      job,
+      task,
+      attempt,
+      machine: machine.machine,
+      zone: machine.zone,
+    });
+    const team = this.teams.find((t) => t.name === job.team);
+    let cpus = 0;
+    let gpus = 0;
+    for (const o of this.on.values())
+      if (o.job.team === job.team) {
+        cpus += o.job.cpus;
+        gpus += o.job.gpus;
+      }
+    if (team === undefined || cpus > team.cpusMax + EPSILON || gpus > team.gpusMax + EPSILON)
+      this.breaks('quota', `${job.team} uses ${cpus} CPUs`);
+    this.checkCancelled(job.id);
+  }
+
+  left(job: JobId, task: number, machine: MachineId, done: boolean): void {
+    this.on.delete(`${machine}:${job}/${task}`);
+    if (!done) return;
+    const tasks = this.doneTasks.get(job) ?? new Set();
+    this.doneTasks.set(job, tasks.add(task));
+  }
+
+  /** A gang completes together: if one task is done, all are. */
+  completed(job: JobSpec): void {
+    this.doneTasks.set(job.id, new Set(Array.from({ length: job.tasks }, (_, task) => task)));
+  }
+
+  isDone(job: JobId, task: number): boolean {
+    return this.doneTasks.get(job)?.has(task) === true;
+  }
+
+  private checkCancelled(job: JobId): void {
+    const told = this.toldCancelled.get(job);
+    if (told === undefined || this.now() <= told + this.cancelMs) return;
+    for (const o of this.on.values())
+      if (o.job.id === job) this.breaks('ran_cancelled', `${job}/${o.task} on ${o.machine}`);
+  }
+
+  /** Called once in a while: tasks that stay on a machine break rules without anything happening. */
+  sweep(): void {
+    for (const job of this.toldCancelled.keys()) this.checkCancelled(job);
+  }
+
+  submit(spec: JobSpec): void {
+    this.submitted.set(spec.id, spec);
+  }
+
+  cancelAsked(id: JobId): void {
+    this.askedCancel.add(id);
+  }
+
+  /** A user was answered. */
+  told(id: JobId, call: 'submit' | 'poll' | 'cancel', code: number, phase: JobPhase | null): void {
+    const spec = this.submitted.get(id);
+    if (spec === undefined) {
+      if (code === 200) this.breaks('invented', id);
+      return;
+    }
+    if (this.accepted.has(id) && (code === 404 || code === 400 || code === 422))
+      this.breaks('forgotten', `${id} got ${code} on ${call}`);
+    if (code !== 200 && code !== 201) return;
+    this.accepted.add(id);
+    if (phase === 'done') {
+      if (spec.kind === 'service' || (this.doneTasks.get(id)?.size ?? 0) < spec.tasks)
+        this.breaks('not_done', id);
+      this.toldDone.add(id);
+    } else if (this.toldDone.has(id)) this.breaks('went_back', `${id} was done, now ${String(phase)}`);
+    if (phase === 'cancelled') {
+      if (!this.askedCancel.has(id)) this.breaks('went_back', `${id} was not cancelled by its user`);
+      if (!this.toldCancelled.has(id)) this.toldCancelled.set(id, this.now());
+    } else if (this.toldCancelled.has(id))
+      this.breaks('went_back', `${id} was cancelled, now ${String(phase)}`);
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/state.ts
@@ -0,0 +1,242 @@
+import type { Ms } from '@spurbridge/net';
+import type {
+  CommitOutcome,
+  GrantOutcome,
+  ListOutcome,
+  ReadOutcome,
+  StateStore,
+  TouchOutcome,
+  WatchOutcome,
+} from '@spurbridge/store';
+import type { Change, Condition, Item, LeaseId, Revision, Version, WatchEvent } from '@spurbridge/wire';
+import type { ProcessClock, SimTime } from './clock.js';
+import type { SimNetwork } from './network.js';
+
+interface Entry {
+  value: string;
+  version: number;
+  lease: number | null;
+}
+
+export const STATE_HOST = 'state';
+const ANSWER_MS = 1500;
+
+/** Stand-in of the state service: strongly consistent, with leases, watches and outages. */
+export class SimState {
+  private readonly entries = new Map<string, Entry>();
+  private readonly leases = new Map<number, { ttl: number; ends: number }>();
+  private readonly log: WatchEvent[] = [];
+  private waiters: { prefix: string; after: number; wake: () => void }[] = [];
+  private revision = 0;
+  private nextLease = 1;
+  private out = false;
+
+  constructor(
+    readonly time: SimTime,
+    readonly network: SimNetwork,
+  ) {}
+
+  get down(): boolean {
+    return this.out;
+  }
+
+  setOutage(out: boolean): void {
+    if (this.out && !out) for (const l of this.leases.values()) l.ends = this.time.now + l.ttl;
+    this.out = out;
+    if (!out) {
+      this.expire();
+      this.wake();
+    }
+  }
+
+  private change(key: string, value: string | null, lease: number | null): void {
+    const version = this.revision as Version;
+    if (value === null) {
+      if (!this.entries.delete(key)) return;
+      this.log.push({ delete: key, version });
+    } else {
+      this.entries.set(key, { value, version, lease });
+      this.log.push({ put: key, value: JSON.parse(value), version });
+    }
+  }
+
+  expire(): void {
+    if (this.out) return;
+    for (const [id, l] of this.leases) if (l.ends <= this.time.now) this.endLease(id);
+  }
+
+  endLease(id: number): void {
+    if (!this.leases.delete(id)) return;
+    this.revision += 1;
+    for (const [key, e] of [...this.entries]) if (e.lease === id) this.change(key, null, null);
+    this.wake();
+  }
+
+  private wake(): void {
+    const waiting = this.waiters;
+    this.waiters = [];
+    for (const w of waiting)
+      if (!this.out && this.since(w.prefix, w.after).length > 0) w.wake();
+      else this.waiters.push(w);
+  }
+
+  since(prefix: string, after: number): WatchEvent[] {
+    return this.log.filter((e) => e.version > after && ('put' in e ? e.put : e.delete).startsWith(prefix));
+  }
+
+  wait(prefix: string, after: number, wake: () => void): void {
+    this.waiters.push({ prefix, after, wake });
+  }
+
+  peek(key: string): unknown {
+    const e = this.entries.get(key);
+    return e === undefined ? undefined : JSON.parse(e.value);
+  }
+
+  read(key: string): ReadOutcome {
+    this.expire();
+    const e = this.entries.get(key);
+    return e === undefined
+      ? { outcome: 'absent' }
+      : { outcome: 'found', item: { key, value: JSON.parse(e.value), version: e.version as Version } };
+  }
+
+  list(prefix: string): ListOutcome {
+    this.expire();
+    const items: Item[] = [...this.entries]
+      .filter(([key]) => key.startsWith(prefix))
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([key, e]) => ({ key, value: JSON.parse(e.value), version: e.version as Version }));
+    return { outcome: 'listed', items, revision: this.revision as Revision };
+  }
+
+  commit(conditions: readonly Condition[], changes: readonly Change[]): CommitOutcome {
+    this.expire();
+    const failed = conditions
+      .filter((c) => (this.entries.get(c.key)?.version ?? 0) !== c.version)
+      .map((c) => c.key);
+    if (failed.length > 0) return { outcome: 'conflict', failed };
+    for (const c of changes)
+      if ('put' in c && c.lease !== undefined && !this.leases.has(c.lease)) return { outcome: 'no_lease' };
+    this.revision += 1;
+    for (const c of changes)
+      if ('put' in c) this.change(c.put, JSON.stringify(c.value), c.lease ?? null);
+      else this.change(c.delete, null, null);
+    this.wake();
+    return { outcome: 'committed', revision: this.revision as Revision };
+  }
+
+  grant(ttl: number): GrantOutcome {
+    const id = this.nextLease++;
+    this.leases.set(id, { ttl, ends: this.time.now + ttl });
+    this.watchLease(id);
+    return { outcome: 'granted', lease: id as LeaseId };
+  }
+
+  renew(id: number): TouchOutcome {
+    this.expire();
+    const l = this.leases.get(id);
+    if (l === undefined) return { outcome: 'ended' };
+    l.ends = this.time.now + l.ttl;
+    return { outcome: 'renewed' };
+  }
+
+  private watchLease(id: number): void {
+    const l = this.leases.get(id);
+    if (l === undefined) return;
+    this.time.after(Math.max(l.ends - this.time.now, 50), () => {
+      this.expire();
+      this.watchLease(id);
+    });
+  }
+
+  now(): Revision {
+    return this.revision as Revision;
+  }
+}
+
+/** The state service as one controller reaches it; `refused` is a 503 that this node alone gets. */
+export class SimStore implements StateStore {
+  refused = false;
+  private served: Ms;
+  private failing: Ms | null = null;
+
+  constructor(
+    private readonly state: SimState,
+    private readonly host: string,
+    private readonly clock: ProcessClock,
+  ) {
+    this.served = clock.now();
+  }
+
+  lastServed(): Ms {
+    return this.served;
+  }
+
+  failingSince(): Ms | null {
+    return this.failing;
+  }
+
+  private async call<T extends { readonly outcome: string }>(
+    handle: () => T,
+  ): Promise<T | { readonly outcome: 'refused' | 'unknown' }> {
+    const answer = await this.state.network.call<T | { readonly outcome: 'refused' }>(
+      this.host,
+      STATE_HOST,
+      ANSWER_MS,
+      () => (this.state.down || this.refused ? { outcome: 'refused' } : handle()),
+    );
+    if (!this.clock.alive) return new Promise(() => undefined);
+    if (answer !== null && answer.outcome !== 'refused') {
+      this.served = this.clock.now();
+      this.failing = null;
+    } else this.failing ??= this.clock.now();
+    return answer ?? { outcome: 'unknown' };
+  }
+
+  read(key: string): Promise<ReadOutcome> {
+    return this.call(() => this.state.read(key));
+  }
+
+  list(prefix: string): Promise<ListOutcome> {
+    return this.call(() => this.state.list(prefix));
+  }
+
+  commit(conditions: readonly Condition[], changes: readonly Change[]): Promise<CommitOutcome> {
+    return this.call(() => this.state.commit(conditions, changes));
+  }
+
+  grantLease(ttlMs: number): Promise<GrantOutcome> {
+    return this.call(() => this.state.grant(ttlMs));
+  }
+
+  renewLease(lease: LeaseId): Promise<TouchOutcome> {
+    return this.call(() => this.state.renew(lease));
+  }
+
+  async endLease(lease: LeaseId): Promise<void> {
+    await this.call(() => {
+      this.state.endLease(lease);
+      return { outcome: 'ended' as const };
+    });
+  }
+
+  async watch(prefix: string, after: Revision, waitMs: number): Promise<WatchOutcome> {
+    const events = (): WatchOutcome => ({
+      outcome: 'events',
+      revision: this.state.now(),
+      events: this.state.since(prefix, after),
+    });
+    const opened = await this.call(() => ({
+      outcome: 'opened' as const,
+      ready: this.state.since(prefix, after).length > 0,
+    }));
+    if (opened.outcome !== 'opened') return opened as WatchOutcome;
+    if (!opened.ready)
+      await new Promise<void>((resolve) => {
+        this.state.wait(prefix, after, resolve);
+        this.state.time.after(waitMs, resolve);
+      });
+    return this.call(events);
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/worker.ts
@@ -0,0 +1,339 @@
+import type {
+  Attempt,
+  ExitCause,
+  JobId,
+  JobSpec,
+  MachineId,
+  MachineType,
+  Session,
+  TaskPhase,
+  Token,
+  WorkerCommand,
+  WorkerReport,
+} from '@spurbridge/wire';
+import type { RuleChecker } from './checker.js';
+import type { SimTime } from './clock.js';
+
+interface SimTask {
+  readonly job: JobSpec;
+  readonly task: number;
+  readonly attempt: Attempt;
+  phase: TaskPhase;
+  cause: ExitCause | null;
+  saved: boolean;
+}
+
+export type SimAnswer =
+  | { readonly code: 200; readonly token: Token; readonly commands: readonly WorkerCommand[] }
+  | { readonly code: 421; readonly leader: string }
+  | { readonly code: 503 };
+
+export interface WorkerWorld {
+  readonly time: SimTime;
+  readonly checker: RuleChecker;
+  readonly nodes: readonly string[];
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly random: (below: number) => number;
+  job(id: JobId): JobSpec | undefined;
+  runMs(job: JobSpec, task: number): number;
+  /** Gang mates that wait or run under the same attempt. */
+  mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[];
+  report(worker: SimWorker, node: string, report: WorkerReport): Promise<SimAnswer | null>;
+}
+
+/** Stand-in of a worker: tokens, sessions, its lease, and tasks that run for a simulated time. */
+export class SimWorker {
+  private session = 1;
+  private seq = 0;
+  private token = 0;
+  private node = 0;
+  private leaseFrom: number;
+  private tasks = new Map<string, SimTask>();
+  private readonly images = new Set<string>();
+  private hanging = false;
+  private readonly whenResumed: (() => void)[] = [];
+  private reporting = false;
+  private lastReport = -Infinity;
+  alive = true;
+  /** While set, every task that starts here fails. */
+  faulty = false;
+  noticeEnds: number | null = null;
+
+  constructor(
+    readonly id: MachineId,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+    private readonly world: WorkerWorld,
+  ) {
+    this.leaseFrom = world.time.now;
+    this.tick();
+    this.reportLoop();
+  }
+
+  private get now(): number {
+    return this.world.time.now;
+  }
+
+  /** Checks the lease; a hanging machine does so as soon as it resumes. */
+  private tick(): void {
+    if (!this.alive) return;
+    if (!this.hanging && this.now - this.leaseFrom > this.world.leaseMs) {
+      this.clear();
+      this.session += 1;
+      this.seq = 0;
+      this.leaseFrom = this.now;
+    }
+    this.world.time.after(100, () => {
+      this.tick();
+    });
+  }
+
+  private clear(): void {
+    for (const t of this.tasks.values())
+      if (t.phase !== 'exited') this.world.checker.left(t.job.id, t.task, this.id, false);
+    this.tasks.clear();
+  }
+
+  die(): void {
+    this.alive = false;
+    this.clear();
+  }
+
+  hang(): void {
+    this.hanging = true;
+  }
+
+  resume(): void {
+    this.hanging = false;
+    // The lease is looked at first: what it ended must not act any more.
+    if (this.now - this.leaseFrom > this.world.leaseMs) {
+      this.clear();
+      this.session += 1;
+      this.seq = 0;
+      this.leaseFrom = this.now;
+    }
+    for (const act of this.whenResumed.splice(0)) act();
+  }
+
+  private act(run: () => void): void {
+    if (!this.alive) return;
+    if (this.hanging) this.whenResumed.push(run);
+    else run();
+  }
+
+  makeReport(): WorkerReport {
+    this.seq += 1;
+    return {
+      machine: this.id,
+      address: this.id,
+      type: this.type.name,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session as Session,
+      seq: this.seq,
+      token: this.token as Token,
+      noticeS: this.noticeEnds === null ? null : Math.max(0, (this.noticeEnds - this.now) / 1000),
+      tasks: [...this.tasks.values()].map((t) => ({
+        job: t.job.id,
+        task: t.task,
+        attempt: t.attempt,
+        phase: t.phase,
+        cause: t.cause,
+        saved: t.saved,
+      })),
+    };
+  }
+
+  private reportLoop(): void {
+    if (!this.alive) return;
+    this.reportNow();
+    this.world.time.after(this.world.reportMs * (0.75 + this.world.random(50) / 100), () => {
+      this.reportLoop();
+    });
+  }
+
+  /** Something changed: report soon, but no more often than every half second. */
+  private changed(): void {
+    const wait = Math.max(0, this.lastReport + 500 - this.now);
+    this.world.time.after(wait, () => {
+      if (this.alive && this.now - this.lastReport >= 499) this.reportNow();
+    });
+  }
+
+  private reportNow(): void {
+    if (this.reporting || this.hanging || !this.alive) return;
+    this.reporting = true;
+    this.lastReport = this.now;
+    const sentAt = this.now;
+    const { session } = this;
+    const node = this.world.nodes[this.node % this.world.nodes.length] as string;
+    void this.world.report(this, node, this.makeReport()).then((answer) => {
+      this.act(() => {
+        this.reporting = false;
+        // An answer that comes after four seconds, or for an earlier session, is dropped.
+        if (answer === null || this.now - sentAt > 4000) this.nextNode();
+        else if (answer.code === 421) {
+          const named = this.world.nodes.indexOf(answer.leader);
+          if (named < 0 || named === this.node % this.world.nodes.length) this.nextNode();
+          else {
+            this.node = named;
+            this.world.time.after(this.world.random(500), () => {
+              this.reportNow();
+            });
+          }
+        } else if (answer.code === 503) this.nextNode();
+        else if (session === this.session && answer.token >= this.token) {
+          this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+          this.seeToken(answer.token);
+          this.execute(answer.commands);
+        }
+      });
+    });
+  }
+
+  private nextNode(): void {
+    this.node += 1;
+    this.world.time.after(1000, () => {
+      this.reportNow();
+    });
+  }
+
+  private seeToken(token: number): void {
+    if (token <= this.token) return;
+    this.token = token;
+    this.changed();
+  }
+
+  /** A message to /commands; null when nothing answers. */
+  commands(
+    token: number,
+    session: number,
+    commands: readonly WorkerCommand[],
+    answer: (executed: boolean, report: WorkerReport) => void,
+  ): void {
+    this.act(() => {
+      const valid = token >= this.token && session === this.session;
+      if (valid) {
+        this.seeToken(token);
+        this.execute(commands);
+      }
+      answer(valid, this.makeReport());
+    });
+  }
+
+  private execute(commands: readonly WorkerCommand[]): void {
+    for (const c of commands) {
+      const name = `${c.job}/${c.task}`;
+      const t = this.tasks.get(name);
+      if (c.op === 'start') this.start(c.job, c.task, c.attempt);
+      else if (t === undefined || t.attempt !== c.attempt) continue;
+      else if (c.op === 'stop') this.stop(t, c.graceS);
+      else if (t.phase === 'exited') this.tasks.delete(name);
+    }
+  }
+
+  private start(id: JobId, task: number, attempt: Attempt): void {
+    const name = `${id}/${task}`;
+    const job = this.world.job(id);
+    const old = this.tasks.get(name);
+    if (old?.attempt === attempt || job === undefined) return;
+    if (old !== undefined && old.phase !== 'exited') return;
+    const t: SimTask = { job, task, attempt, phase: 'fetching', cause: null, saved: false };
+    let cpus = job.cpus;
+    for (const o of this.tasks.values()) if (o.phase !== 'exited') cpus += o.job.cpus;
+    this.tasks.set(name, t);
+    this.changed();
+    if (cpus > this.type.cpus + 1e-6) {
+      t.phase = 'exited';
+      t.cause = 'no_room';
+      return;
+    }
+    const fetchMs = this.images.has(job.image) ? 5 : (job.imageGb / this.type.fetchGbPerS) * 1000;
+    this.world.time.after(fetchMs, () => {
+      this.act(() => {
+        if (this.tasks.get(name) === t && t.phase === 'fetching') this.begin(t);
+      });
+    });
+  }
+
+  private begin(t: SimTask): void {
+    this.images.add(t.job.image);
+    this.world.checker.started(t.job, t.task, t.attempt, {
+      machine: this.id,
+      zone: this.zone,
+      type: this.type.name,
+      spot: this.spot,
+    });
+    if (this.faulty) this.end(t, 'error');
+    else if (this.world.checker.isDone(t.job.id, t.task)) this.end(t, 'done');
+    else if (t.job.kind === 'gang') {
+      t.phase = 'waiting';
+      this.changed();
+      const mates = this.world.mates(t.job, t.attempt);
+      if (mates.length === t.job.tasks) for (const m of mates) m.worker.runTask(t.job, m.task);
+      this.world.time.after(20_000, () => {
+        if (t.phase === 'waiting') this.end(t, 'alone');
+      });
+    } else this.runTask(t.job, t.task);
+  }
+
+  attemptOf(job: JobId, task: number): { attempt: Attempt; phase: TaskPhase } | null {
+    return this.tasks.get(`${job}/${task}`) ?? null;
+  }
+
+  private runTask(job: JobSpec, task: number): void {
+    const t = this.tasks.get(`${job.id}/${task}`);
+    if (t === undefined || t.phase === 'exited') return;
+    t.phase = 'running';
+    this.changed();
+    if (job.kind === 'service') return;
+    this.world.time.after(this.world.runMs(job, job.kind === 'gang' ? 0 : task), () => {
+      this.act(() => {
+        if (t.phase !== 'running') return;
+        if (job.kind === 'gang') this.world.checker.completed(job);
+        this.end(t, 'done');
+      });
+    });
+    if (job.kind === 'gang') this.watchMates(t);
+  }
+
+  private watchMates(t: SimTask): void {
+    this.world.time.after(2000, () => {
+      this.act(() => {
+        if (t.phase !== 'running') return;
+        if (this.world.checker.isDone(t.job.id, t.task)) this.end(t, 'done');
+        else if (this.world.mates(t.job, t.attempt).length === t.job.tasks) this.watchMates(t);
+        else this.end(t, 'peers');
+      });
+    });
+  }
+
+  private stop(t: SimTask, graceS: number): void {
+    if (t.phase === 'exited') return;
+    const saves = t.phase === 'running' && t.job.checkpointS > 0 && graceS >= t.job.saveS;
+    if (!saves) {
+      if (t.phase === 'saving' && graceS > 0) return;
+      this.end(t, 'stopped');
+      return;
+    }
+    t.phase = 'saving';
+    this.changed();
+    this.world.time.after(t.job.saveS * 1000, () => {
+      this.act(() => {
+        if (t.phase === 'saving') this.end(t, 'stopped', true);
+      });
+    });
+  }
+
+  private end(t: SimTask, cause: ExitCause, saved = false): void {
+    // What was cleared with an earlier session has ended already.
+    if (this.tasks.get(`${t.job.id}/${t.task}`) !== t || t.phase === 'exited') return;
+    t.phase = 'exited';
+    t.cause = cause;
+    t.saved = saved;
+    this.world.checker.left(t.job.id, t.task, this.id, cause === 'done');
+    this.changed();
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/world.ts
@@ -0,0 +1,357 @@
+import type { Cloud, RentOutcome } from '@spurbridge/cloud';
+import { Controller } from '@spurbridge/controller';
+import type { DirectOutcome, Log, PeerLink, Settings, WorkerLink } from '@spurbridge/controller';
+import type { Team, WallMs } from '@spurbridge/model';
+import type {
+  Attempt,
+  JobId,
+  JobSpec,
+  ListedMachine,
+  MachineId,
+  MachineType,
+  NodeId,
+  PeerMessage,
+  RentalRequest,
+  Session,
+  Token,
+  WorkerCommand,
+  WorkerReport,
+} from '@spurbridge/wire';
+import { formatSubmission } from '@spurbridge/wire';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { RuleChecker } from './checker.js';
+import { ProcessClock, SimTime } from './clock.js';
+import { SimNetwork } from './network.js';
+import { SimState, SimStore, STATE_HOST } from './state.js';
+import type { SimAnswer } from './worker.js';
+import { SimWorker } from './worker.js';
+
+export const CLOUD_HOST = 'cloud';
+const USER_HOST = 'user';
+const RESTART_MS = 8000;
+const LIST_LAG_MS = 4000;
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly teams: readonly Team[];
+  readonly types: readonly MachineType[];
+  readonly zones: readonly string[];
+  /** Machines of each type, zone and kind. */
+  readonly capacity: number;
+  readonly leaseS: number;
+  readonly cancelS: number;
+  readonly log?: Log;
+}
+
+interface SimNode {
+  readonly name: NodeId;
+  readonly zone: string;
+  clock: ProcessClock;
+  store: SimStore;
+  controller: Controller;
+}
+
+const silent: Log = { debug: () => undefined, info: () => undefined, error: () => undefined };
+
+/** Controllers, state service, cloud, workers and users in one simulated world, judged by the rules. */
+export class World {
+  readonly time = new SimTime();
+  readonly network: SimNetwork;
+  readonly state: SimState;
+  readonly checker: RuleChecker;
+  readonly workers = new Map<MachineId, SimWorker>();
+  readonly nodes: SimNode[] = [];
+  private readonly generator;
+  private readonly requests = new Map<string, readonly MachineId[]>();
+  private readonly listing: { at: number; id: MachineId; machine: Omit<ListedMachine, 'ageS' | 'phase'> }[] =
+    [];
+  private readonly goneAt = new Map<MachineId, number>();
+  private machines = 0;
+  private incarnations = 0;
+
+  constructor(private readonly o: WorldOptions) {
+    this.generator = xoroshiro128plus(o.seed);
+    this.network = new SimNetwork(this.time, (below) => this.random(below));
+    this.state = new SimState(this.time, this.network);
+    this.checker = new RuleChecker(() => this.time.now, o.teams, o.cancelS * 1000);
+    for (let i = 0; i < 3; i += 1) {
+      const name = `spur-${i}` as NodeId;
+      this.nodes.push(this.boot(name, o.zones[i % o.zones.length] as string));
+    }
+  }
+
+  random(below: number): number {
+    return below <= 0 ? 0 : uniformInt(this.generator, 0, below - 1);
+  }
+
+  private settings(name: NodeId, zone: string): Settings {
+    return {
+      node: name,
+      zone,
+      listen: '127.0.0.1:1',
+      back: '127.0.0.1:2',
+      peers: [],
+      cloudAddress: CLOUD_HOST,
+      stateAddress: STATE_HOST,
+      teams: this.o.teams,
+      objectives: [],
+      workers: { reportS: 3, leaseS: this.o.leaseS, gangWaitS: 20, gangPeerS: 4, cancelS: this.o.cancelS },
+      state: { rps: 1000, writeRps: 1000, valueKb: 16, txnOps: 12 },
+      cloud: { rps: 10, listLagS: LIST_LAG_MS / 1000 },
+      maxSockets: 100,
+    };
+  }
+
+  private boot(name: NodeId, zone: string): SimNode {
+    const clock = new ProcessClock(this.time, 1 + this.random(5) / 10_000, this.random(1_000_000));
+    const store = new SimStore(this.state, name, clock);
+    this.incarnations += 1;
+    const controller = new Controller({
+      settings: this.settings(name, zone),
+      store,
+      cloud: this.cloudFor(name),
+      workers: this.linkFor(name),
+      clock,
+      wallNow: () => (1_700_000_000_000 + this.time.now + this.random(20)) as WallMs,
+      log: this.o.log ?? silent,
+      incarnation: `${name}-${this.incarnations}`,
+      link: (status, receive) => this.peersOf(name, clock, status, receive),
+    });
+    void controller.run();
+    return { name, zone, clock, store, controller };
+  }
+
+  crash(index: number): void {
+    const node = this.nodes[index];
+    if (node === undefined || !node.clock.alive) return;
+    node.clock.alive = false;
+    this.time.after(RESTART_MS, () => {
+      this.nodes[index] = this.boot(node.name, node.zone);
+    });
+  }
+
+  private alive(name: string): SimNode | null {
+    const node = this.nodes.find((n) => n.name === name);
+    return node?.clock.alive === true ? node : null;
+  }
+
+  private peersOf(
+    name: NodeId,
+    clock: ProcessClock,
+    status: () => PeerMessage,
+    receive: (message: PeerMessage) => void,
+  ): PeerLink {
+    const heard = new Map<string, { at: number; ok: boolean }>();
+    this.receivers.set(name, (message) => {
+      const s = message.status;
+      if (s !== undefined) heard.set(s.node, { at: clock.now(), ok: s.stateOk });
+      receive(message);
+    });
+    const broadcast = (message: PeerMessage): void => {
+      for (const n of this.nodes)
+        if (n.name !== name)
+          this.network.send(name, n.name, () => {
+            if (this.alive(n.name) !== null) this.receivers.get(n.name)?.(message);
+          });
+    };
+    return {
+      broadcast,
+      someoneServed: () => [...heard.values()].some((h) => h.ok && clock.now() - h.at < 4000),
+      run: async () => {
+        for (;;) {
+          await clock.sleep(700);
+          broadcast(status());
+        }
+      },
+    };
+  }
+
+  private readonly receivers = new Map<string, (message: PeerMessage) => void>();
+
+  // --- cloud -----------------------------------------------------------------------------------
+
+  private cloudFor(host: string): Cloud {
+    return {
+      types: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.o.types),
+      rent: async (q: RentalRequest): Promise<RentOutcome> =>
+        (await this.network.call<RentOutcome>(host, CLOUD_HOST, 4000, () => this.rent(q))) ?? {
+          outcome: 'unknown',
+        },
+      release: async (ids: readonly MachineId[]) =>
+        (await this.network.call(host, CLOUD_HOST, 4000, () => this.remove(ids))) === true,
+      list: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.list()),
+    };
+  }
+
+  private rent(q: RentalRequest): RentOutcome {
+    const before = this.requests.get(q.request);
+    if (before !== undefined) return { outcome: 'rented', machines: before };
+    const type = this.o.types.find((t) => t.name === q.type);
+    if (type === undefined) return { outcome: 'no_capacity' };
+    const held = this.listing.filter(
+      (l) =>
+        !this.goneAt.has(l.id) &&
+        l.machine.type === q.type &&
+        l.machine.zone === q.zone &&
+        l.machine.spot === q.spot,
+    ).length;
+    const count = Math.min(q.count, this.o.capacity - held);
+    if (count <= 0) return { outcome: 'no_capacity' };
+    const machines: MachineId[] = [];
+    for (let i = 0; i < count; i += 1) {
+      const id = `n-${String(this.machines++).padStart(6, '0')}` as MachineId;
+      machines.push(id);
+      this.listing.push({
+        at: this.time.now,
+        id,
+        machine: { id, address: id, type: q.type, zone: q.zone, spot: q.spot },
+      });
+      this.time.after(type.bootS * (600 + this.random(900)), () => {
+        if (this.goneAt.has(id)) return;
+        this.workers.set(id, new SimWorker(id, type, q.zone, q.spot, this.workerWorld()));
+      });
+    }
+    this.requests.set(q.request, machines);
+    return { outcome: 'rented', machines };
+  }
+
+  private remove(ids: readonly MachineId[]): true {
+    for (const id of ids) {
+      if (!this.goneAt.has(id)) this.goneAt.set(id, this.time.now);
+      this.workers.get(id)?.die();
+    }
+    return true;
+  }
+
+  takeBack(id: MachineId): void {
+    this.remove([id]);
+  }
+
+  private list(): ListedMachine[] {
+    const seen = this.time.now - LIST_LAG_MS - this.random(LIST_LAG_MS);
+    return this.listing
+      .filter((l) => l.at <= seen && (this.goneAt.get(l.id) ?? Infinity) > seen)
+      .map((l) => ({
+        ...l.machine,
+        phase: this.workers.has(l.id) ? ('running' as const) : ('booting' as const),
+        ageS: (seen - l.at) / 1000,
+      }));
+  }
+
+  // --- workers ---------------------------------------------------------------------------------
+
+  private workerWorld(): ConstructorParameters<typeof SimWorker>[4] {
+    return {
+      time: this.time,
+      checker: this.checker,
+      nodes: this.nodes.map((n) => n.name),
+      reportMs: 3000,
+      leaseMs: this.o.leaseS * 1000,
+      random: (below) => this.random(below),
+      job: (id) => this.checker.submitted.get(id),
+      runMs: (job, task) => job.estimateS * (600 + ((task * 7919) % 800)),
+      mates: (job, attempt) => this.mates(job, attempt),
+      report: (worker, node, report) => this.report(worker, node, report),
+    };
+  }
+
+  private mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[] {
+    const found: { worker: SimWorker; task: number }[] = [];
+    for (const worker of this.workers.values())
+      for (let task = 0; task < job.tasks && worker.alive; task += 1) {
+        const t = worker.attemptOf(job.id, task);
+        if (t?.attempt === attempt && (t.phase === 'waiting' || t.phase === 'running'))
+          found.push({ worker, task });
+      }
+    return found;
+  }
+
+  private report(worker: SimWorker, node: string, report: WorkerReport): Promise<SimAnswer | null> {
+    return this.network.call<SimAnswer>(worker.id, node, 4000, () => {
+      const answer = this.alive(node)?.controller.report(report);
+      return answer ?? null;
+    });
+  }
+
+  private linkFor(host: string): WorkerLink {
+    const call = async (
+      address: string,
+      token: Token,
+      session: Session,
+      commands: readonly WorkerCommand[],
+    ): Promise<DirectOutcome> => {
+      const worker = this.workers.get(address as MachineId);
+      if (worker === undefined) return { outcome: 'unsent' };
+      return new Promise((resolve) => {
+        this.time.after(2000, () => {
+          resolve({ outcome: 'unknown' });
+        });
+        this.network.send(host, address, () => {
+          worker.commands(token, session, commands, (executed, report) => {
+            this.network.send(address, host, () => {
+              resolve({ outcome: executed ? 'executed' : 'rejected', report });
+            });
+          });
+        });
+      });
+    };
+    return {
+      commands: call,
+      show: async (address) =>
+        this.network.call(host, address, 1500, () => {
+          const worker = this.workers.get(address as MachineId);
+          return worker?.alive === true ? worker.makeReport() : null;
+        }),
+      forgetAddress: () => undefined,
+    };
+  }
+
+  // --- users -----------------------------------------------------------------------------------
+
+  /** Submits until accepted or refused for good, then polls and, if asked to, cancels. */
+  user(spec: JobSpec, cancelAfterMs: number | null): void {
+    this.checker.submit(spec);
+    let accepted = false;
+    let over = false;
+    const ask = (): void => {
+      if (over) return;
+      const node = this.nodes[this.random(this.nodes.length)];
+      if (node?.clock.alive === true) {
+        const cancelling = accepted && cancelAfterMs !== null && this.time.now >= cancelAfterMs;
+        const call = !accepted ? 'submit' : cancelling ? 'cancel' : 'poll';
+        if (cancelling) this.checker.cancelAsked(spec.id);
+        const answered =
+          call === 'submit'
+            ? node.controller.jobs.submit(formatSubmission(spec))
+            : call === 'cancel'
+              ? node.controller.jobs.cancel(spec.id)
+              : node.controller.jobs.status(spec.id);
+        void answered.then((a) => {
+          this.network.send(node.name, USER_HOST, () => {
+            const phase = 'status' in a ? a.status.phase : null;
+            this.checker.told(spec.id, call, a.code, phase);
+            if (a.code === 200 || a.code === 201) accepted = true;
+            // A final answer is asked for again once in a while: it must stay the same.
+            if (phase === 'cancelled' || phase === 'done') over = this.random(4) === 0;
+          });
+        });
+      }
+      this.time.after(1500 + this.random(3000), ask);
+    };
+    ask();
+  }
+
+  async run(untilMs: number): Promise<void> {
+    const sweep = (): void => {
+      this.checker.sweep();
+      this.time.after(500, sweep);
+    };
+    if (this.time.now === 0) sweep();
+    await this.time.run(untilMs);
+  }
+
+  phaseOf(id: JobId): unknown {
+    return (this.state.peek(`j/${id}`) as { phase?: unknown } | undefined)?.phase;
+  }
+}
