Stop tasks only where the favoured one ends sooner by it

Found with the in-favour-of field of the new log line; excluded: spot notices and drains (3 machines).

--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -154,7 +154,11 @@
       const ageMs = Math.max(0, this.c.wallNow() - record.at);
       const now = this.c.clock.now();
       job = new Job(record.spec, record.chunkSize, item.version, later(now, -ageMs));
-      if (record.phase === 'active') this.c.log.debug({ job: record.spec.id }, 'job learned');
+      if (record.phase === 'active')
+        this.c.log.debug(
+          { job: record.spec.id, class: record.spec.class, tasks: record.spec.tasks, team: record.spec.team },
+          'job learned',
+        );
       if (record.phase === 'done') {
         job.enter('closing');
         job.enter('done');
@@ -571,7 +575,10 @@
       const p = job?.placements.get(s.task);
       if (job === undefined || p === undefined || p.stop !== null) continue;
       job.askStop(s.task, job.spec.checkpointS > 0 ? job.spec.saveS + 1 : 0, 'preempted', now);
-      this.c.log.info({ task: formatTaskName(s.job, s.task), machine: p.machine }, 'task preempted');
+      this.c.log.info(
+        { task: formatTaskName(s.job, s.task), machine: p.machine, inFavourOf: s.inFavourOf },
+        'task preempted',
+      );
       this.push(p.machine);
     }
     this.fleet.planned(result.unmet);
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -90,8 +90,22 @@
     summedWaitS: waitS * job.pendingCount,
     ageS: (now - job.submittedAt) / 1000,
     estimateS: leader.estimates.expect(job.spec),
+    patienceS: patience(leader, job, (now - job.submittedAt) / 1000),
     avoid: job.failedOn,
     order,
     startable: now >= job.notBefore,
   };
 }
+
+const LEAST_PATIENCE_S = 0.5;
+const LATE_PATIENCE_S = 2;
+
+/** What the aims leave a job to wait before its start; one that is late already is treated alike. */
+function patience(leader: Leader, job: Job, ageS: number): number {
+  const { objectives } = leader.c.settings;
+  const aim =
+    objectives.find((o) => o.kind === 'wait' && o.class === job.spec.class) ??
+    objectives.find((o) => o.kind === 'guarantee');
+  const leftS = (aim?.withinS ?? 0) - ageS - 1;
+  return leftS > 0 ? leftS : job.spec.kind === 'service' ? LEAST_PATIENCE_S : LATE_PATIENCE_S;
+}
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -11,6 +11,8 @@
 export interface Stop {
   readonly job: JobId;
   readonly task: number;
+  /** The job that room is made for. */
+  readonly inFavourOf: JobId;
 }
 
 /** Work that no machine can take at once: the fleet is sized by it. */
@@ -32,8 +34,10 @@
 
 /** Differences in completion below this are no reason to prefer one machine to another. */
 const SAME_S = 0.5;
-/** A task that would start this soon by itself is not worth stopping another for. */
-const PREEMPT_ABOVE_S = 1;
+/** Stopping a task and starting another in its place takes about this long. */
+const STOP_S = 0.3;
+/** Less than this gained is not worth stopping a task for. */
+const PREEMPT_GAIN_S = 0.7;
 const EPSILON = 1e-6;
 
 interface Load {
@@ -341,8 +345,10 @@
       this.unmet.push({ job, tasks: late + more, startsInS, withinLimit: true, guaranteed });
     if (limited > 0)
       this.unmet.push({ job, tasks: limited, startsInS: Infinity, withinLimit: false, guaranteed });
-    if (late + e.unplaced > 0 && limited === 0 && startsInS > PREEMPT_ABOVE_S)
-      this.preempt(job, delayed.filter((c) => c.startS > PREEMPT_ABOVE_S).length + e.unplaced, guaranteed);
+    if (limited > 0) return;
+    const waits = delayed.filter((c) => c.startS > job.patienceS).map((c) => c.endS);
+    for (let i = 0; i < e.unplaced; i += 1) waits.push(Infinity);
+    if (waits.length > 0) this.preempt(job, waits, guaranteed);
   }
 
   private start(job: JobView, c: Choice, room: { cpus: number; gpus: number }): void {
@@ -363,8 +369,12 @@
     }
   }
 
-  /** Makes room by stopping what the rules of preemption allow, the least lost work first. */
-  private preempt(job: JobView, tasks: number, guaranteed: boolean): void {
+  /**
+   * Makes room by stopping what the rules of preemption allow, the least lost work first, and only
+   * where it lets a task end sooner than by waiting: room freed elsewhere would be filled by others
+   * and freed again, over and over.
+   */
+  private preempt(job: JobView, ends: readonly number[], guaranteed: boolean): void {
     const spec = job.spec;
     const rank = PRIORITY_ORDER[spec.priority];
     const mayStop = (o: Occupant): boolean =>
@@ -374,11 +384,13 @@
         (guaranteed && o.team !== spec.team && this.beyond.has(o.job) && PRIORITY_ORDER[o.priority] >= rank));
     const taken = new Set<string>(this.stops.map((s) => `${s.job}/${s.task}`));
     // Room that stops under way will free counts already.
-    let missing = tasks;
+    const waits = [...ends].sort((a, b) => b - a);
+    let next = 0;
     const perZone = new Map<string, number>();
     for (const z of job.zones) perZone.set(z, (perZone.get(z) ?? 0) + 1);
     const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-    const options: { stops: Occupant[]; lostS: number; zone: string }[] = [];
+    const options: { stops: Occupant[]; lostS: number; endS: number; zone: string }[] = [];
+    const runS = spec.kind === 'service' ? 0 : job.estimateS;
     for (const m of this.s.machines) {
       if (!m.takesTasks || !allows(job, m) || job.avoid.has(m.id)) continue;
       let cpus = m.type.cpus;
@@ -395,7 +407,7 @@
         .sort((a, b) => a.lostS - b.lostS);
       const stopping = m.occupants.some((o) => o.stopping);
       if (stopping && cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb) {
-        missing -= Math.max(1, Math.floor(cpus / Math.max(spec.cpus, 0.01)));
+        next += Math.max(1, Math.floor(cpus / Math.max(spec.cpus, 0.01)));
         continue;
       }
       let chosen: Occupant[] = [];
@@ -408,7 +420,9 @@
         memory += v.memoryGb;
         if (cpus + EPSILON < spec.cpus || gpus + EPSILON < spec.gpus || memory + EPSILON < spec.memoryGb)
           continue;
-        options.push({ stops: chosen, lostS: lostS + fetchSeconds(job, m) * 4, zone: m.zone });
+        const fetchS = fetchSeconds(job, m);
+        const endS = STOP_S + fetchS + runS * m.slowness;
+        options.push({ stops: chosen, lostS: lostS + fetchS * 4, endS, zone: m.zone });
         chosen = [];
         lostS = 0;
         cpus -= spec.cpus;
@@ -418,11 +432,13 @@
     }
     options.sort((a, b) => a.lostS - b.lostS);
     for (const option of options) {
-      if (missing <= 0) return;
+      const waitS = waits[next];
+      if (waitS === undefined) return;
+      if (option.endS + PREEMPT_GAIN_S > waitS) continue;
       if ((perZone.get(option.zone) ?? 0) >= zoneMost) continue;
       perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
-      for (const o of option.stops) this.stops.push({ job: o.job, task: o.task });
-      missing -= 1;
+      for (const o of option.stops) this.stops.push({ job: o.job, task: o.task, inFavourOf: spec.id });
+      next += 1;
     }
   }
 }
