--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -391,6 +391,7 @@
           if (t.phase === 'running' && p.state !== 'running') {
             const type = this.type(m.type);
             m.useImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0);
+            this.c.log.debug({ task: name, machine: m.id, image: job.spec.image }, 'task runs');
           }
           job.reported(task, t.phase, now);
         }
