Keep services off machines that whole tasks fit, and by their images

A replica now weighs the task slot it would take (2 s) and, while its aim can still be met, room is made where its image is held.

--- a/packages/controller/src/estimates.ts
+++ b/packages/controller/src/estimates.ts
@@ -2,6 +2,7 @@
 
 const WEIGHT = 0.08;
 const ENOUGH = 6;
+const SIZES = 50;
 
 /** Owners err systematically on some days: each class's estimates are corrected by what was seen. */
 export class Estimates {
@@ -13,6 +14,20 @@
     return Math.max(0.5, spec.estimateS * ratio);
   }
 
+  private readonly sizes: { cpus: number; memoryGb: number }[] = [];
+
+  /** Called for every job that is not a service: what machines should keep room for. */
+  sized(spec: JobSpec): void {
+    this.sizes.push({ cpus: spec.cpus, memoryGb: spec.memoryGb });
+    if (this.sizes.length > SIZES) this.sizes.shift();
+  }
+
+  typicalTask(): { cpus: number; memoryGb: number } | null {
+    if (this.sizes.length === 0) return null;
+    const sorted = [...this.sizes].sort((a, b) => a.cpus - b.cpus);
+    return sorted[Math.floor(sorted.length / 2)] ?? null;
+  }
+
   learn(spec: JobSpec, ranS: number): void {
     const seen = Math.log(Math.min(8, Math.max(0.125, ranS / Math.max(spec.estimateS, 0.5))));
     const c = this.classes.get(spec.class) ?? { logRatio: 0, samples: 0 };
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -164,6 +164,7 @@
         job.enter('done');
       }
       this.jobs.set(record.spec.id, job);
+      if (record.spec.kind !== 'service' && record.spec.cpus > 0) this.estimates.sized(record.spec);
     }
     if (item.version >= job.version) {
       job.version = item.version;
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -71,7 +71,13 @@
   const active = [...leader.jobs.values()].filter((j) => j.state === 'active');
   active.sort((a, b) => a.submittedAt - b.submittedAt);
   for (const job of active) jobs.push(viewOf(leader, job, now, order++));
-  return { jobs, machines, teams: settings.teams, starvationS: STARVATION_S };
+  return {
+    jobs,
+    machines,
+    teams: settings.teams,
+    starvationS: STARVATION_S,
+    typicalTask: leader.estimates.typicalTask(),
+  };
 }
 
 function viewOf(leader: Leader, job: Job, now: Ms, order: number): JobView {
@@ -106,6 +112,7 @@
   const aim =
     objectives.find((o) => o.kind === 'wait' && o.class === job.spec.class) ??
     objectives.find((o) => o.kind === 'guarantee');
-  const leftS = (aim?.withinS ?? 0) - ageS - 1;
-  return leftS > 0 ? leftS : job.spec.kind === 'service' ? LEAST_PATIENCE_S : LATE_PATIENCE_S;
+  const withinS = aim?.withinS ?? 0;
+  if (job.spec.kind === 'service') return Math.max(LEAST_PATIENCE_S, withinS - ageS);
+  return withinS - ageS - 1 > 0 ? withinS - ageS - 1 : LATE_PATIENCE_S;
 }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -38,6 +38,8 @@
 const STOP_S = 0.3;
 /** Less than this gained is not worth stopping a task for. */
 const PREEMPT_GAIN_S = 0.7;
+/** A service that takes a whole task's place on a machine is worth waiting this long to avoid. */
+const FRAGMENT_S = 2;
 const EPSILON = 1e-6;
 
 interface Load {
@@ -111,6 +113,19 @@
   usedCpus(): number {
     return this.loads.reduce((sum, l) => sum + l.cpus, 0);
   }
+
+  /** How many tasks of a size fit beside services alone, now and with one more service. */
+  slotsLost(service: { cpus: number; memoryGb: number }, task: { cpus: number; memoryGb: number }): number {
+    let { cpus, memoryGb: memory } = this.machine.type;
+    for (const l of this.loads)
+      if (l.endS === Infinity) {
+        cpus -= l.cpus;
+        memory -= l.memoryGb;
+      }
+    const slots = (c: number, g: number): number =>
+      Math.max(0, Math.floor(Math.min(c / task.cpus, g / Math.max(task.memoryGb, EPSILON)) + EPSILON));
+    return slots(cpus, memory) - slots(cpus - service.cpus, memory - service.memoryGb);
+  }
 }
 
 export function fetchSeconds(job: JobView, machine: MachineView): number {
@@ -126,6 +141,16 @@
   );
 }
 
+interface Candidate {
+  queue: Queue;
+  startS: number;
+  endS: number;
+  /** `endS` and what the choice costs others, in seconds. */
+  costS: number;
+  readonly rank: number;
+  uses: number;
+}
+
 interface Choice {
   readonly task: number;
   readonly queue: Queue;
@@ -229,28 +254,38 @@
     const perZone = new Map<string, number>();
     for (const z of job.zones) perZone.set(z, (perZone.get(z) ?? 0) + 1);
     const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-    const candidates: { queue: Queue; startS: number; endS: number; rank: number; uses: number }[] = [];
+    const candidates: Candidate[] = [];
     const runS = spec.kind === 'service' ? Infinity : Math.max(job.estimateS, 0.5);
-    const refresh = (c: (typeof candidates)[number]): void => {
+    const refresh = (c: Candidate): void => {
       const m = c.queue.machine;
       c.startS = c.queue.earliestStart(spec);
       const busy = c.startS + fetchSeconds(job, m);
       // A service never completes: what counts for it is when it serves.
       c.endS = spec.kind === 'service' ? busy : busy + runS * m.slowness;
+      c.costS = c.endS;
+      if (spec.kind === 'service' && this.s.typicalTask !== null)
+        c.costS += c.queue.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
     };
     for (const q of this.queues.values()) {
       const m = q.machine;
       if (!allows(job, m) || job.avoid.has(m.id) || (zone !== null && m.zone !== zone)) continue;
       const price = (m.spot ? m.type.spotPrice : m.type.price) / Math.max(m.type.cpus, 1);
       // Among equals the cheaper machine, then the fuller one, so that others empty and can go back.
-      const c = { queue: q, startS: 0, endS: 0, rank: price * 10 - q.usedCpus() / m.type.cpus / 10, uses: 0 };
+      const c = {
+        queue: q,
+        startS: 0,
+        endS: 0,
+        costS: 0,
+        rank: price * 10 - q.usedCpus() / m.type.cpus / 10,
+        uses: 0,
+      };
       refresh(c);
       if (c.startS < Infinity) candidates.push(c);
     }
     const choices: Choice[] = [];
     let completionS = 0;
     for (const task of job.pending) {
-      let best: (typeof candidates)[number] | null = null;
+      let best: Candidate | null = null;
       for (const c of candidates) {
         if (c.startS === Infinity || (perZone.get(c.queue.machine.zone) ?? 0) >= zoneMost) continue;
         if (best === null || this.better(spec.spread || spec.kind === 'service', perZone, c, best)) best = c;
@@ -274,13 +309,8 @@
     return { job, completionS, choices, changed, unplaced };
   }
 
-  private better(
-    spread: boolean,
-    perZone: ReadonlyMap<string, number>,
-    a: { queue: Queue; endS: number; rank: number; uses: number },
-    b: { queue: Queue; endS: number; rank: number; uses: number },
-  ): boolean {
-    if (Math.abs(a.endS - b.endS) > SAME_S) return a.endS < b.endS;
+  private better(spread: boolean, perZone: ReadonlyMap<string, number>, a: Candidate, b: Candidate): boolean {
+    if (Math.abs(a.costS - b.costS) > SAME_S) return a.costS < b.costS;
     if (spread) {
       const za = perZone.get(a.queue.machine.zone) ?? 0;
       const zb = perZone.get(b.queue.machine.zone) ?? 0;
@@ -318,6 +348,18 @@
       }
       return;
     }
+    // A service that would fetch its image past its aim waits a moment for room where the image is.
+    const tooSlow =
+      spec.kind === 'service' && job.ageS < job.patienceS
+        ? e.choices.filter((c) => c.startS <= 0 && c.endS > job.patienceS)
+        : [];
+    const deferred = new Set<Choice>();
+    if (tooSlow.length > 0) {
+      const ends = tooSlow.map((c) => c.endS);
+      const made = this.preempt(job, ends, guaranteed);
+      const slowest = [...tooSlow].sort((a, b) => b.endS - a.endS);
+      for (const c of slowest.slice(0, made)) deferred.add(c);
+    }
     let late = 0;
     let limited = 0;
     let startsInS = 0;
@@ -325,6 +367,9 @@
     for (const c of e.choices) {
       if (!fits(1)) {
         limited += 1;
+      } else if (deferred.has(c)) {
+        room.cpus -= spec.cpus;
+        room.gpus -= spec.gpus;
       } else if (c.startS <= 0) {
         this.start(job, c, room);
       } else {
@@ -372,9 +417,9 @@
   /**
    * Makes room by stopping what the rules of preemption allow, the least lost work first, and only
    * where it lets a task end sooner than by waiting: room freed elsewhere would be filled by others
-   * and freed again, over and over.
+   * and freed again, over and over. Returns for how many tasks room is being made.
    */
-  private preempt(job: JobView, ends: readonly number[], guaranteed: boolean): void {
+  private preempt(job: JobView, ends: readonly number[], guaranteed: boolean): number {
     const spec = job.spec;
     const rank = PRIORITY_ORDER[spec.priority];
     const mayStop = (o: Occupant): boolean =>
@@ -433,13 +478,14 @@
     options.sort((a, b) => a.lostS - b.lostS);
     for (const option of options) {
       const waitS = waits[next];
-      if (waitS === undefined) return;
+      if (waitS === undefined) break;
       if (option.endS + PREEMPT_GAIN_S > waitS) continue;
       if ((perZone.get(option.zone) ?? 0) >= zoneMost) continue;
       perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
       for (const o of option.stops) this.stops.push({ job: o.job, task: o.task, inFavourOf: spec.id });
       next += 1;
     }
+    return Math.min(next, waits.length);
   }
 }
 
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -57,6 +57,8 @@
   readonly machines: readonly MachineView[];
   readonly teams: readonly Team[];
   readonly starvationS: number;
+  /** The size of task that machines should keep room for, or null while none is known. */
+  readonly typicalTask: { readonly cpus: number; readonly memoryGb: number } | null;
 }
 
 export const PRIORITY_ORDER: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
