--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -1,7 +1,7 @@
-import type { Machine } from '@spurbridge/model';
+import type { Job, Machine } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
-import type { FleetMachine, Rent, Unmet } from '@spurbridge/planner';
+import type { FleetMachine, Rent, Replica, Unmet } from '@spurbridge/planner';
 import { planFleet } from '@spurbridge/planner';
 import type { ListedMachine, MachineId } from '@spurbridge/wire';
 import { ABSENT, read } from '@spurbridge/wire';
@@ -22,6 +22,9 @@
 const IDLE_RENTED_S = 25;
 const IDLE_STANDING_S = 600;
 const HEADROOM = 1.1;
+/** A replica is not moved again before this: a start that is stopped soon after does not count. */
+const SETTLED_MS = 45_000;
+const CONSOLIDATED = 'consolidated';
 
 /** Rents, returns and watches over machines, for as long as its leader leads. */
 export class Fleet {
@@ -138,7 +141,18 @@
       const type = this.leader.type(m.type);
       if (type === undefined || m.state === 'gone' || m.state === 'releasing') continue;
       let usedCpus = 0;
-      for (const { job } of this.leader.heldOn(m.id)) usedCpus += job.spec.cpus;
+      let usedMemoryGb = 0;
+      let settled = true;
+      const replicas: Replica[] = [];
+      for (const { job, task } of this.leader.heldOn(m.id)) {
+        usedCpus += job.spec.cpus;
+        usedMemoryGb += job.spec.memoryGb;
+        if (job.spec.kind === 'gang') settled = false;
+        if (job.spec.kind !== 'service') continue;
+        replicas.push(this.replica(job, task));
+        const p = job.placements.get(task);
+        if (p?.runningAt === null || p?.stop !== null || now - p.runningAt < SETTLED_MS) settled = false;
+      }
       machines.push({
         id: m.id,
         type,
@@ -148,12 +162,56 @@
         returnable: m.rented || this.standingUpTo === '',
         idleS: m.idleSince === null ? 0 : (now - m.idleSince) / 1000,
         usedCpus,
+        usedMemoryGb,
         takesTasks: m.takesTasks,
+        replicas,
+        settled,
       });
     }
     return machines;
   }
 
+  private replica(job: Job, task: number): Replica {
+    const { spec } = job;
+    let zones: Set<string> | null = null;
+    if (spec.spread || spec.oneZone) {
+      const held = new Map<string, number>();
+      for (const p of job.placements.values()) {
+        const zone = this.leader.machines.get(p.machine)?.zone ?? '';
+        if (p.task !== task) held.set(zone, (held.get(zone) ?? 0) + 1);
+      }
+      const most = Math.ceil(spec.tasks / 2);
+      const all = new Set([...this.leader.machines.values()].map((m) => m.zone));
+      zones = new Set(
+        [...all].filter(
+          (z) =>
+            (!spec.spread || (held.get(z) ?? 0) < most) && (!spec.oneZone || held.size === 0 || held.has(z)),
+        ),
+      );
+    }
+    return { ...spec, zones };
+  }
+
+  /** Empties a machine that is drained to be given back, one replica at a time. */
+  private moveReplicas(m: Machine, now: Ms): void {
+    for (const job of this.leader.jobs.values())
+      if (job.spec.kind === 'service' && job.state === 'active') {
+        if (job.pendingCount > 0) return;
+        for (const p of job.placements.values())
+          if (p.stop !== null || (p.state !== 'running' && now - p.placedAt < 20_000)) return;
+      }
+    for (const { job, task } of this.leader.heldOn(m.id))
+      if (job.spec.kind === 'service') {
+        job.askStop(task, job.spec.saveS + 1, 'drained', now);
+        this.leader.push(m.id);
+        return;
+      }
+  }
+
+  private get frugal(): boolean {
+    return this.standingUpTo === '';
+  }
+
   private async fleetLoop(): Promise<void> {
     const { clock, leadership, types } = this.leader.c;
     while (this.leader.active) {
@@ -167,10 +225,11 @@
         machines: this.view(now),
         unmet: this.unmet,
         policy: {
-          idleS: this.standingUpTo === '' ? IDLE_RENTED_S : IDLE_STANDING_S,
+          frugal: this.frugal,
+          idleS: this.frugal ? IDLE_RENTED_S : IDLE_STANDING_S,
           targetCpus: target.cpus,
           targetOrdinaryCpus: target.ordinary,
-          bootShare: this.standingUpTo === '' ? 0.5 : 0.15,
+          bootShare: this.frugal ? 0.5 : 0.15,
         },
         available: (type, zone, spot) => now >= (this.refusedUntil.get(`${type}/${zone}/${spot}`) ?? 0),
       });
@@ -178,6 +237,11 @@
         const m = this.leader.machines.get(id);
         if (m !== undefined && this.leader.heldCount(id) === 0) this.giveBack(m, 'not needed');
       }
+      const drained = plan.drain === null ? undefined : this.leader.machines.get(plan.drain);
+      const consolidating = [...this.leader.machines.values()].filter((x) => x.drainReason === CONSOLIDATED);
+      if (drained !== undefined && consolidating.length === 0) this.leader.drain(drained, CONSOLIDATED);
+      // Work that waits takes precedence: the machine is needed after all.
+      if (this.unmet.some((u) => u.withinLimit)) for (const m of consolidating) this.leader.undrain(m);
       await Promise.all(plan.rent.map((r) => this.rent(r)));
       await clock.sleep(250);
     }
@@ -259,6 +323,7 @@
       else if (m.state === 'ready') heard += 1;
       else if (m.state === 'draining' && this.leader.heldCount(m.id) === 0 && m.goneBy === null)
         this.giveBack(m, m.drainReason);
+      else if (m.state === 'draining' && m.drainReason === CONSOLIDATED) this.moveReplicas(m, now);
     }
     const mass = silent.length >= 3 && silent.length >= (silent.length + heard) * MASS_SHARE;
     if (!mass) this.massSince = null;
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -377,6 +377,14 @@
     this.c.log.info({ machine: m.id, reason }, 'machine drains');
   }
 
+  undrain(m: Machine): void {
+    if (m.state !== 'draining' || m.goneBy !== null) return;
+    m.drainReason = '';
+    m.enter('ready');
+    this.c.log.info({ machine: m.id }, 'machine is needed after all');
+    this.replan.raise();
+  }
+
   private readTasks(m: Machine, r: WorkerReport, now: Ms): void {
     const reported = new Map<string, TaskReport>();
     for (const t of r.tasks) reported.set(formatTaskName(t.job, t.task), t);
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -3,7 +3,8 @@
 import { Transitions } from './transition.js';
 
 /**
- * booting -> ready -> silent -> ready | gone; ready -> draining -> releasing -> gone.
+ * booting -> ready -> silent -> ready | gone; ready -> draining -> releasing -> gone. A machine drained
+ * only to be given back may be made ready again.
  * `silent`: no report for a while; its tasks count as there. `draining`: takes no new tasks.
  * `releasing`: a release was sent; only its 200 proves anything.
  */
@@ -13,7 +14,7 @@
   booting: ['ready', 'draining', 'releasing', 'gone'],
   ready: ['silent', 'draining', 'releasing', 'gone'],
   silent: ['ready', 'draining', 'releasing', 'gone'],
-  draining: ['silent', 'releasing', 'gone'],
+  draining: ['ready', 'silent', 'releasing', 'gone'],
   releasing: ['gone'],
   gone: [],
 });
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -13,6 +13,23 @@
   readonly idleS: number;
   readonly usedCpus: number;
   readonly takesTasks: boolean;
+  /** Services' tasks on it. */
+  readonly replicas: readonly Replica[];
+  readonly usedMemoryGb: number;
+  /** Nothing on it started or was stopped lately, and nothing on it keeps it from being drained. */
+  readonly settled: boolean;
+}
+
+/** A service's task, as far as moving it goes. */
+export interface Replica {
+  readonly cpus: number;
+  readonly memoryGb: number;
+  readonly gpus: number;
+  readonly spot: boolean;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  /** Zones where it may be beside the job's other replicas. */
+  readonly zones: ReadonlySet<string> | null;
 }
 
 export interface FleetPolicy {
@@ -21,6 +38,8 @@
   /** CPUs, in use or free, that the recent past says will be needed. */
   readonly targetCpus: number;
   readonly targetOrdinaryCpus: number;
+  /** Whether money is weighed against speed: spare machines go back, and dear ones are a last resort. */
+  readonly frugal: boolean;
   /** Work that would start within this share of a machine's boot time is left to the queue. */
   readonly bootShare: number;
 }
@@ -44,6 +63,8 @@
 export interface FleetPlan {
   readonly rent: readonly Rent[];
   readonly release: readonly MachineId[];
+  /** A machine whose replicas fit elsewhere: it is drained so that it can go back. */
+  readonly drain: MachineId | null;
 }
 
 interface Coming {
@@ -71,7 +92,8 @@
   const perZone = new Map<string, number>();
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
   for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
-  return { rent: [...rents.values()], release: surplus(input) };
+  const release = surplus(input);
+  return { rent: [...rents.values()], release, drain: release.length > 0 ? null : consolidate(input) };
 }
 
 function meet(
@@ -125,6 +147,7 @@
       for (const z of zones)
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
+          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type)) continue;
           const fit = Math.min(
             left,
             Math.floor(type.cpus / Math.max(spec.cpus, 1e-9)),
@@ -160,6 +183,67 @@
   }
 }
 
+const LATE_START_S = 30;
+
+/** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
+function pressing(u: Unmet, type: MachineType): boolean {
+  const { spec, ageS, estimateS } = u.job;
+  if (spec.deadlineS === null) return ageS > LATE_START_S;
+  return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
+}
+
+/** The machine whose emptying saves most for each replica that has to move, if they all fit elsewhere. */
+function consolidate(input: FleetInput): MachineId | null {
+  const { policy } = input;
+  if (!policy.frugal || input.unmet.length > 0) return null;
+  if (input.machines.some((m) => m.booting)) return null;
+  const ready = input.machines.filter((m) => m.takesTasks);
+  const total = ready.reduce((sum, m) => sum + m.type.cpus, 0);
+  const ordinary = ready.reduce((sum, m) => sum + (m.spot ? 0 : m.type.cpus), 0);
+  let best: { id: MachineId; gain: number } | null = null;
+  for (const m of ready) {
+    if (!m.returnable || m.replicas.length === 0 || !m.settled) continue;
+    if (total - m.type.cpus < policy.targetCpus) continue;
+    if (!m.spot && ordinary - m.type.cpus < policy.targetOrdinaryCpus) continue;
+    const price = m.spot ? m.type.spotPrice : m.type.price;
+    const waste = 1 - m.usedCpus / m.type.cpus;
+    const gain = (price * waste) / m.replicas.length;
+    if (waste < LEAST_WASTE || (best !== null && gain <= best.gain)) continue;
+    if (fitElsewhere(m, ready)) best = { id: m.id, gain };
+  }
+  return best?.id ?? null;
+}
+
+/** A machine used better than this is left alone. */
+const LEAST_WASTE = 0.2;
+
+function fitElsewhere(from: FleetMachine, ready: readonly FleetMachine[]): boolean {
+  const free = ready
+    .filter((m) => m.id !== from.id)
+    .map((m) => ({
+      m,
+      cpus: m.type.cpus - m.usedCpus,
+      memoryGb: m.type.memoryGb - m.usedMemoryGb,
+    }))
+    .sort((a, b) => a.cpus - b.cpus);
+  return from.replicas.every((r) => {
+    const to = free.find(
+      (f) =>
+        f.cpus >= r.cpus &&
+        f.memoryGb >= r.memoryGb &&
+        r.gpus <= f.m.type.gpus &&
+        (!f.m.spot || r.spot) &&
+        (r.zone === null || r.zone === f.m.zone) &&
+        (r.zones === null || r.zones.has(f.m.zone)) &&
+        (r.types === null || r.types.includes(f.m.type.name)),
+    );
+    if (to === undefined) return false;
+    to.cpus -= r.cpus;
+    to.memoryGb -= r.memoryGb;
+    return true;
+  });
+}
+
 function surplus(input: FleetInput): MachineId[] {
   const { policy } = input;
   if (input.unmet.some((u) => u.withinLimit)) return [];
