--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -192,7 +192,7 @@
     return { ...spec, zones };
   }
 
-  /** Empties a machine that is drained to be given back, one replica at a time. */
+  /** Empties a draining machine, one replica at a time. */
   private moveReplicas(m: Machine, now: Ms): void {
     for (const job of this.leader.jobs.values())
       if (job.spec.kind === 'service' && job.state === 'active') {
@@ -238,7 +238,9 @@
         if (m !== undefined && this.leader.heldCount(id) === 0) this.giveBack(m, 'not needed');
       }
       const drained = plan.drain === null ? undefined : this.leader.machines.get(plan.drain);
-      const consolidating = [...this.leader.machines.values()].filter((x) => x.drainReason === CONSOLIDATED);
+      const consolidating = [...this.leader.machines.values()].filter(
+        (x) => x.state === 'draining' && x.drainReason === CONSOLIDATED,
+      );
       if (drained !== undefined && consolidating.length === 0) this.leader.drain(drained, CONSOLIDATED);
       // Work that waits takes precedence: the machine is needed after all.
       if (this.unmet.some((u) => u.withinLimit)) for (const m of consolidating) this.leader.undrain(m);
@@ -323,7 +325,7 @@
       else if (m.state === 'ready') heard += 1;
       else if (m.state === 'draining' && this.leader.heldCount(m.id) === 0 && m.goneBy === null)
         this.giveBack(m, m.drainReason);
-      else if (m.state === 'draining' && m.drainReason === CONSOLIDATED) this.moveReplicas(m, now);
+      else if (m.state === 'draining' && m.goneBy === null) this.moveReplicas(m, now);
     }
     const mass = silent.length >= 3 && silent.length >= (silent.length + heard) * MASS_SHARE;
     if (!mass) this.massSince = null;
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -96,6 +96,7 @@
     summedWaitS: waitS * job.pendingCount,
     ageS: (now - job.submittedAt) / 1000,
     estimateS: leader.estimates.expect(job.spec),
+    milestonesS: milestones(leader, job),
     patienceS: patience(leader, job, (now - job.submittedAt) / 1000),
     avoid: job.failedOn,
     order,
@@ -116,3 +117,15 @@
   if (job.spec.kind === 'service') return Math.max(LEAST_PATIENCE_S, withinS - ageS);
   return withinS - ageS - 1 > 0 ? withinS - ageS - 1 : LATE_PATIENCE_S;
 }
+
+function milestones(leader: Leader, job: Job): number[] {
+  const { spec } = job;
+  const ages: number[] = [];
+  for (const o of leader.c.settings.objectives) {
+    if (o.class !== spec.class) continue;
+    if (o.kind === 'deadline' && spec.deadlineS !== null) ages.push(spec.deadlineS * (o.times ?? 1));
+    else if (o.kind === 'finished' && o.withinS !== null) ages.push(o.withinS);
+  }
+  if (ages.length === 0 && spec.deadlineS !== null) ages.push(spec.deadlineS);
+  return ages.sort((a, b) => a - b);
+}
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -40,6 +40,8 @@
 const PREEMPT_GAIN_S = 0.7;
 /** A service that takes a whole task's place on a machine is worth waiting this long to avoid. */
 const FRAGMENT_S = 2;
+/** A job past its last milestone by this factor is no longer put behind the others. */
+const PATIENT = 5;
 const EPSILON = 1e-6;
 
 interface Load {
@@ -206,12 +208,34 @@
     return { starts: this.starts, stops: this.stops, unmet: this.unmet };
   }
 
+  /**
+   * Under overload the paper's order alone makes every job late in turn. A job that would miss its next
+   * milestone goes behind those that can still meet theirs, and so on to its last; it comes back to the
+   * front once it has waited several times as long, so that nothing waits for ever.
+   */
+  private planTier(jobs: readonly JobView[]): void {
+    let group: readonly JobView[] = jobs;
+    for (let level = 0; group.length > 0; level += 1) group = this.planGroup(group, level);
+  }
+
+  private misses(e: Evaluation, level: number): boolean {
+    const milestoneS = e.job.milestonesS[level];
+    const last = e.job.milestonesS.at(-1);
+    if (milestoneS === undefined || last === undefined || e.job.ageS > last * PATIENT) return false;
+    return e.job.ageS + e.completionS > milestoneS;
+  }
+
   /** The paper's loop: starved first, otherwise the smallest estimated completion first. */
-  private planTier(jobs: JobView[]): void {
+  private planGroup(jobs: readonly JobView[], level: number): JobView[] {
+    const later: JobView[] = [];
+    const settle = (e: Evaluation): void => {
+      if (this.misses(e, level)) later.push(e.job);
+      else this.place(e);
+    };
     const starved = jobs
       .filter((j) => j.summedWaitS > this.s.starvationS)
       .sort((a, b) => b.summedWaitS - a.summedWaitS);
-    for (const j of starved) this.place(this.evaluate(j));
+    for (const j of starved) settle(this.evaluate(j));
     // Placing only ever delays the others, so an old estimate is a lower bound: the smallest is
     // recomputed until it stays the smallest, which picks as the paper's full recomputation would.
     const rest = jobs
@@ -223,13 +247,14 @@
       const evaluation = this.evaluate(first.job);
       const next = rest[0];
       if (next === undefined || evaluation.completionS <= next.bound + EPSILON) {
-        this.place(evaluation);
+        settle(evaluation);
         continue;
       }
       const bound = Math.max(evaluation.completionS, first.bound + EPSILON);
       const at = rest.findIndex((r) => r.bound > bound);
       rest.splice(at < 0 ? rest.length : at, 0, { bound, job: first.job });
     }
+    return later;
   }
 
   /** Where each task would go, and when the job would complete; changes nothing. */
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -43,6 +43,8 @@
   readonly ageS: number;
   /** The owner's estimate, corrected by what its class was seen to take. */
   readonly estimateS: number;
+  /** Ages, in order, by which its class's aims want it complete. */
+  readonly milestonesS: readonly number[];
   /** Seconds that it can still wait without anybody minding. */
   readonly patienceS: number;
   readonly avoid: ReadonlySet<MachineId>;
