Take the mean task waiting for the starvation threshold, not the sum

Cause: under overload nearly every array passes 30 s of summed waiting within seconds, the largest first, so that the smallest-completion order was never used (the weakness that the design names).

--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -225,6 +225,10 @@
     return e.job.ageS + e.completionS > milestoneS;
   }
 
+  private isStarved(job: JobView): boolean {
+    return meanWait(job) > this.s.starvationS;
+  }
+
   /** The paper's loop: starved first, otherwise the smallest estimated completion first. */
   private planGroup(jobs: readonly JobView[], level: number): JobView[] {
     const later: JobView[] = [];
@@ -232,14 +236,12 @@
       if (this.misses(e, level)) later.push(e.job);
       else this.place(e);
     };
-    const starved = jobs
-      .filter((j) => j.summedWaitS > this.s.starvationS)
-      .sort((a, b) => b.summedWaitS - a.summedWaitS);
+    const starved = jobs.filter((j) => this.isStarved(j)).sort((a, b) => meanWait(b) - meanWait(a));
     for (const j of starved) settle(this.evaluate(j));
     // Placing only ever delays the others, so an old estimate is a lower bound: the smallest is
     // recomputed until it stays the smallest, which picks as the paper's full recomputation would.
     const rest = jobs
-      .filter((j) => j.summedWaitS <= this.s.starvationS)
+      .filter((j) => !this.isStarved(j))
       .map((j) => ({ bound: this.evaluate(j).completionS, job: j }))
       .sort((a, b) => a.bound - b.bound || a.job.order - b.job.order);
     while (rest.length > 0) {
@@ -362,7 +364,7 @@
         this.adopt(e);
       } else {
         // Room is kept for a gang only once it is starved; otherwise others go ahead of it.
-        if (whole && job.summedWaitS > this.s.starvationS) this.adopt(e);
+        if (whole && this.isStarved(job)) this.adopt(e);
         this.unmet.push({
           job,
           tasks: job.pending.length,
@@ -514,6 +516,14 @@
   }
 }
 
+/**
+ * The paper sums the waiting of a cotask's tasks, which lets a huge array pass the threshold within
+ * seconds and go ahead of every small job; the mean does not depend on the size.
+ */
+function meanWait(job: JobView): number {
+  return job.summedWaitS / Math.max(1, job.pendingCount);
+}
+
 /** Jobs that fit in their team's guarantee along with the team's earlier unfinished jobs. */
 export function withinGuarantee(s: Snapshot): Set<JobView> {
   const used = new Map<string, { cpus: number; gpus: number }>();
