--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -91,8 +91,7 @@
   const rents = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
   const perZone = new Map<string, number>();
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
-  const backlogS = backlog(input);
-  for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone, backlogS);
+  for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
   const release = surplus(input);
   return { rent: [...rents.values()], release, drain: release.length > 0 ? null : consolidate(input) };
 }
@@ -103,7 +102,6 @@
   coming: Coming[],
   rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
   perZone: Map<string, number>,
-  backlogS: number,
 ): void {
   const spec = u.job.spec;
   let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? null) : null);
@@ -149,7 +147,7 @@
       for (const z of zones)
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
-          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type, backlogS)) continue;
+          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type)) continue;
           const fit = Math.min(
             left,
             Math.floor(type.cpus / Math.max(spec.cpus, 1e-9)),
@@ -187,30 +185,13 @@
 
 const LATE_START_S = 30;
 
-/** Seconds that the machines there are would take for all the work that waits. */
-function backlog(input: FleetInput): number {
-  let work = 0;
-  for (const u of input.unmet)
-    if (u.withinLimit && u.job.spec.kind !== 'service') work += u.tasks * u.job.spec.cpus * u.job.estimateS;
-  let cpus = 0;
-  for (const m of input.machines) if (m.takesTasks || m.booting) cpus += m.type.cpus;
-  return work / Math.max(cpus, 1);
-}
-
-/**
- * Ordinary machines for work that may use spot ones: only where waiting would miss its deadline, or
- * where so much waits that the work to come would miss theirs.
- */
-function pressing(u: Unmet, type: MachineType, backlogS: number): boolean {
+/** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
+function pressing(u: Unmet, type: MachineType): boolean {
   const { spec, ageS, estimateS } = u.job;
-  if (backlogS > type.bootS * BACKLOG_SHARE) return true;
   if (spec.deadlineS === null) return ageS > LATE_START_S;
-  const startByS = spec.deadlineS - ageS - estimateS * 1.2;
-  return u.startsInS > startByS && startByS > type.bootS;
+  return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
 
-const BACKLOG_SHARE = 0.7;
-
 /** The machine whose emptying saves most for each replica that has to move, if they all fit elsewhere. */
 function consolidate(input: FleetInput): MachineId | null {
   const { policy } = input;
