Resign when most machines fall silent also after a takeover; forget ended jobs

Found on review: a new leader that reaches no worker counted recorded machines as booting and would have released them all; replicas bound by zones could be placed while a machine's zone was unknown.

--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -18,6 +18,9 @@
 const SILENT_RELEASE_MS = 9000;
 /** Silence of this share of the machines points at our own network. */
 const MASS_SHARE = 0.5;
+const MASS_MS = 1500;
+/** After a takeover, workers find the new leader within this time. */
+const UNHEARD_MS = 7000;
 const PEAK_WINDOW_MS = 60_000;
 const IDLE_RENTED_S = 25;
 const IDLE_STANDING_S = 600;
@@ -320,8 +323,11 @@
     const silent: Machine[] = [];
     let heard = 0;
     for (const m of this.leader.machines.values()) {
-      if (m.state === 'booting') this.sweepBooting(m, now);
-      else if (m.state === 'silent') silent.push(m);
+      if (m.state === 'booting') {
+        // It was up under an earlier leader: not hearing it may be this node's own fault.
+        if (this.leader.heldCount(m.id) > 0 && now - m.firstSeen > UNHEARD_MS) silent.push(m);
+        else this.sweepBooting(m, now);
+      } else if (m.state === 'silent') silent.push(m);
       else if (m.state === 'ready') heard += 1;
       else if (m.state === 'draining' && this.leader.heldCount(m.id) === 0 && m.goneBy === null)
         this.giveBack(m, m.drainReason);
@@ -332,27 +338,25 @@
     else {
       this.massSince ??= now;
       // So many at once: more likely it is this node that cannot reach them. Another may lead.
-      if (now - this.massSince > 1500)
-        this.leader.c.leadership
-          .resign('most machines are silent: the fault may be here')
-          .catch((e: unknown) => {
-            this.leader.c.log.error({ error: String(e) }, 'resigning failed');
-          });
-      return;
+      const { leadership, log } = this.leader.c;
+      if (now - this.massSince < MASS_MS) return;
+      if (leadership.mayResign()) {
+        leadership.resign('most machines are silent: the fault may be here').catch((e: unknown) => {
+          log.error({ error: String(e) }, 'resigning failed');
+        });
+        return;
+      }
     }
     for (const m of silent) {
       const last = m.heardAt ?? m.firstSeen;
-      if (now - last > SILENT_RELEASE_MS || m.goneBy !== null) this.giveBack(m, 'silent');
+      const patienceMs = m.state === 'booting' ? UNHEARD_MS + 6000 : SILENT_RELEASE_MS;
+      if (now - last > patienceMs || m.goneBy !== null) this.giveBack(m, 'silent');
     }
   }
 
   private sweepBooting(m: Machine, now: Ms): void {
     const bootS = this.leader.type(m.type)?.bootS ?? 60;
-    const held = this.leader.heldCount(m.id) > 0;
-    const waitedMs = now - m.firstSeen;
-    // With tasks recorded on it, it was up before: it is treated as a silent one.
-    if (held && waitedMs > SILENT_RELEASE_MS + 4000) this.giveBack(m, 'silent');
-    else if (!held && waitedMs > bootS * 1000 * BOOT_PATIENCE + 5000) this.giveBack(m, 'never came up');
+    if (now - m.firstSeen > bootS * 1000 * BOOT_PATIENCE + 5000) this.giveBack(m, 'never came up');
   }
 }
 
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -10,7 +10,6 @@
   Item,
   JobId,
   JobProgress,
-  JobSpec,
   MachineId,
   MachineType,
   Revision,
@@ -151,6 +150,8 @@
     }
     let job = this.jobs.get(record.spec.id);
     if (job === undefined) {
+      // What is over needs no memory here: its users are answered from the record.
+      if (record.phase === 'done') return null;
       const ageMs = Math.max(0, this.c.wallNow() - record.at);
       const now = this.c.clock.now();
       job = new Job(record.spec, record.chunkSize, item.version, later(now, -ageMs));
@@ -159,10 +160,6 @@
           { job: record.spec.id, class: record.spec.class, tasks: record.spec.tasks, team: record.spec.team },
           'job learned',
         );
-      if (record.phase === 'done') {
-        job.enter('closing');
-        job.enter('done');
-      }
       this.jobs.set(record.spec.id, job);
       if (record.spec.kind !== 'service' && record.spec.cpus > 0) this.estimates.sized(record.spec);
     }
@@ -292,6 +289,11 @@
     }
   }
 
+  /** The job is over and its task records are gone: nothing here refers to it any more. */
+  release(job: Job): void {
+    this.jobs.delete(job.spec.id);
+  }
+
   /** The intent is durable: the start may go out. */
   onDurable(job: Job, started: readonly { task: number; attempt: Attempt }[]): void {
     const machines = new Set<MachineId>();
@@ -681,9 +683,3 @@
 function startName(job: JobId, task: number, attempt: Attempt): string {
   return `${formatTaskName(job, task)}#${attempt}`;
 }
-
-export function isEnded(job: Job): boolean {
-  return job.state === 'done' || (job.state === 'cancelled' && job.placements.size === 0);
-}
-
-export type { JobSpec };
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -127,7 +127,8 @@
       job.enter('done');
       this.closing.delete(job.spec.id);
       for (const c of job.chunks) this.entries.delete(chunkKey(job.spec.id, c.index));
-      if (only === undefined) this.clearing.add(job);
+      if (only !== undefined) only.version = ABSENT;
+      this.clearing.add(job);
       log.info({ job: job.spec.id, tasks: job.spec.tasks }, 'job done');
     } else await this.failed(outcome, [{ key, job, chunk: null }]);
   }
@@ -196,11 +197,12 @@
 
   private clearOne(): Promise<void> | null {
     for (const job of this.clearing) {
-      const chunks = job.chunks.filter((c) => c.version !== ABSENT);
-      const keys = chunks.map((c) => chunkKey(job.spec.id, c.index));
+      const keys = job.chunks.map((c) => chunkKey(job.spec.id, c.index));
       if (keys.some((k) => this.busy.has(k) || this.entries.has(k))) continue;
+      const chunks = job.chunks.filter((c) => c.version !== ABSENT);
       if (chunks.length === 0) {
         this.clearing.delete(job);
+        if (job.state === 'done' || job.placements.size === 0) this.leader.release(job);
         continue;
       }
       return this.clear(job, chunks.slice(0, this.leader.c.settings.state.txnOps));
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -100,7 +100,9 @@
     patienceS: patience(leader, job, (now - job.submittedAt) / 1000),
     avoid: job.failedOn,
     order,
-    startable: now >= job.notBefore,
+    // After a takeover a machine may be known by its id alone: without the zones of what it may run,
+    // a job that is bound by zones cannot be placed.
+    startable: now >= job.notBefore && !((job.spec.spread || job.spec.oneZone) && zones.includes('')),
   };
 }
 
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -10,6 +10,9 @@
 const RETRY_MS = 200;
 const TRUSTED_DRIFT = 0.001;
 const MARGIN_MS = 150;
+/** After resigning, the others get this long to take over, and it is not done again for a while. */
+const STAND_BACK_MS = 5000;
+const STAY_MS = 60_000;
 
 /**
  * following -> campaigning -> leading -> holding -> following.
@@ -38,6 +41,8 @@
   private lease: LeaseId | null = null;
   private confirmedAt: Ms | null = null;
   private stopped = false;
+  private standsBackUntil = 0 as Ms;
+  private staysUntil = 0 as Ms;
   private ownToken = 0 as Token;
   /** The highest token known, and whose it is. */
   private seen: { token: Token; node: NodeId } | null = null;
@@ -107,10 +112,17 @@
     this.stopped = true;
   }
 
+  /** Not again soon after the last time: if nobody does better, what this node sees is true. */
+  mayResign(): boolean {
+    return this.clock.now() >= this.staysUntil;
+  }
+
   /** Gives leadership up of its own accord, so that another node can lead. */
   async resign(reason: string): Promise<void> {
     const lease = this.lease;
     if (this.current !== 'leading' && this.current !== 'holding') return;
+    this.standsBackUntil = later(this.clock.now(), STAND_BACK_MS);
+    this.staysUntil = later(this.clock.now(), STAY_MS);
     this.enter('following', reason);
     if (lease !== null) await this.store.endLease(lease);
   }
@@ -162,7 +174,8 @@
   private async follow(): Promise<void> {
     const found = await this.store.read(LEADER_KEY, 0);
     if (found.outcome === 'absent') {
-      await this.campaign();
+      if (this.clock.now() < this.standsBackUntil) await this.clock.sleep(RETRY_MS);
+      else await this.campaign();
       return;
     }
     if (found.outcome !== 'found') {
