--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -246,7 +246,8 @@
       );
       if (drained !== undefined && consolidating.length === 0) this.leader.drain(drained, CONSOLIDATED);
       // Work that waits takes precedence: the machine is needed after all.
-      if (this.unmet.some((u) => u.withinLimit)) for (const m of consolidating) this.leader.undrain(m);
+      if (this.unmet.some((u) => u.withinLimit && u.job.spec.kind === 'service'))
+        for (const m of consolidating) this.leader.undrain(m);
       await Promise.all(plan.rent.map((r) => this.rent(r)));
       await clock.sleep(250);
     }
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -53,8 +53,7 @@
 const SUSPECT_JOB_MACHINES = 3;
 /** A machine on which this many different jobs failed is at fault. */
 const FAULTY_MACHINE_JOBS = 2;
-const SLOW_FACTOR = 1.9;
-const SLOW_SAMPLES = 3;
+const SLOW_FACTOR = 1.7;
 const SAVE_MARGIN_S = 4;
 
 interface Held {
@@ -430,12 +429,10 @@
       job.errors = 0;
       if (p.runningAt !== null && job.spec.estimateS > 0 && job.spec.kind === 'array') {
         const ranS = (now - p.runningAt) / 1000;
-        const expected = this.estimates.expect(job.spec) * m.slowness;
+        const expectedS = this.estimates.expect(job.spec);
         this.estimates.learn(job.spec, ranS / m.slowness);
-        m.samples += 1;
-        const ratio = Math.min(5, Math.max(0.2, ranS / Math.max(expected, 0.1)));
-        m.slowness = Math.max(1, Math.min(4, m.slowness * ratio ** 0.2));
-        if (m.slowness > SLOW_FACTOR && m.samples >= SLOW_SAMPLES) this.drain(m, 'slow');
+        m.ran(job.spec.id, Math.min(5, Math.max(0.2, ranS / expectedS)));
+        if (m.isSlow(SLOW_FACTOR)) this.drain(m, 'slow');
       }
     } else if (cause === 'error') this.onError(m, job, name, now);
     else if (cause === 'no_room') m.refusedUntil = later(now, 2000);
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -19,6 +19,11 @@
   gone: [],
 });
 
+const SPEED_JOBS = 10;
+const SPEED_SURE = 4;
+/** Jobs' worth of evidence that the machine is as fast as any other. */
+const SPEED_DOUBT = 2;
+
 export class Machine {
   private phase: MachineState = 'booting';
   address = '';
@@ -40,9 +45,8 @@
   probes = 0;
   idleSince: Ms | null;
   refusedUntil = 0 as Ms;
-  /** Observed run time over estimated, against the class's own ratio; above 1 is slow. */
-  slowness = 1;
-  samples = 0;
+  /** For each of the last jobs that ran here: run time over expected, as a logarithm. */
+  private readonly speeds = new Map<string, { sum: number; count: number }>();
   sending = false;
   drainReason = '';
 
@@ -74,6 +78,32 @@
     return this.phase === 'ready';
   }
 
+  /**
+   * A job's tasks share their owner's error, so it is jobs that are counted, not tasks: many tasks of
+   * one job estimated too short must not condemn a machine.
+   */
+  ran(job: string, ratio: number): void {
+    const seen = this.speeds.get(job) ?? { sum: 0, count: 0 };
+    this.speeds.delete(job);
+    this.speeds.set(job, { sum: seen.sum + Math.log(ratio), count: seen.count + 1 });
+    for (const oldest of this.speeds.keys()) {
+      if (this.speeds.size <= SPEED_JOBS) break;
+      this.speeds.delete(oldest);
+    }
+  }
+
+  /** Observed run time over expected, held near 1 while little was seen; never below 1. */
+  get slowness(): number {
+    let sum = 0;
+    for (const s of this.speeds.values()) sum += s.sum / s.count;
+    return Math.max(1, Math.exp(sum / (this.speeds.size + SPEED_DOUBT)));
+  }
+
+  /** Whether enough different jobs ran here to say that the machine is slow. */
+  isSlow(factor: number): boolean {
+    return this.speeds.size >= SPEED_SURE && this.slowness > factor;
+  }
+
   useImage(image: string, sizeGb: number, cacheGb: number): void {
     this.images.delete(image);
     this.images.set(image, sizeGb);
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -93,7 +93,13 @@
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
   for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
   const release = surplus(input);
-  return { rent: [...rents.values()], release, drain: release.length > 0 ? null : consolidate(input) };
+  const drain = release.length > 0 ? null : consolidate(input);
+  if (drain?.swapCpus !== undefined) swap(input, drain.swapCpus, rents);
+  return {
+    rent: [...rents.values()],
+    release,
+    drain: drain === null || drain.swapCpus !== undefined ? null : drain.id,
+  };
 }
 
 function meet(
@@ -192,28 +198,59 @@
   return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
 
+interface Emptied {
+  readonly id: MachineId;
+  /** Spot CPUs to be rented first, so that the work beside the replicas keeps its room. */
+  readonly swapCpus?: number;
+}
+
 /** The machine whose emptying saves most for each replica that has to move, if they all fit elsewhere. */
-function consolidate(input: FleetInput): MachineId | null {
+function consolidate(input: FleetInput): Emptied | null {
   const { policy } = input;
-  if (!policy.frugal || input.unmet.length > 0) return null;
+  const waits = (u: Unmet): boolean => u.job.spec.kind === 'service' || u.startsInS > WAITS_S;
+  if (!policy.frugal || input.unmet.some((u) => u.withinLimit && waits(u))) return null;
   if (input.machines.some((m) => m.booting)) return null;
   const ready = input.machines.filter((m) => m.takesTasks);
   const total = ready.reduce((sum, m) => sum + m.type.cpus, 0);
   const ordinary = ready.reduce((sum, m) => sum + (m.spot ? 0 : m.type.cpus), 0);
-  let best: { id: MachineId; gain: number } | null = null;
+  let best: { id: MachineId; gain: number; missing: number } | null = null;
   for (const m of ready) {
     if (!m.returnable || m.replicas.length === 0 || !m.settled) continue;
-    if (total - m.type.cpus < policy.targetCpus) continue;
     if (!m.spot && ordinary - m.type.cpus < policy.targetOrdinaryCpus) continue;
+    const missing = policy.targetCpus - (total - m.type.cpus);
+    if (m.spot && missing > 0) continue;
     const price = m.spot ? m.type.spotPrice : m.type.price;
-    const waste = 1 - m.usedCpus / m.type.cpus;
+    const replicaCpus = m.replicas.reduce((sum, r) => sum + r.cpus, 0);
+    const waste = 1 - replicaCpus / m.type.cpus;
     const gain = (price * waste) / m.replicas.length;
     if (waste < LEAST_WASTE || (best !== null && gain <= best.gain)) continue;
-    if (fitElsewhere(m, ready)) best = { id: m.id, gain };
+    if (fitElsewhere(m, ready)) best = { id: m.id, gain, missing };
   }
-  return best?.id ?? null;
+  if (best === null) return null;
+  return best.missing > 0 ? { id: best.id, swapCpus: best.missing } : { id: best.id };
+}
+
+/** Spot machines in place of an ordinary one that mostly runs work which may use them. */
+function swap(
+  input: FleetInput,
+  cpus: number,
+  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
+): void {
+  let best: { type: MachineType; zone: string; price: number } | null = null;
+  for (const type of input.types)
+    for (const zone of type.zones) {
+      if (type.cpus < Math.min(cpus, LEAST_SWAP_CPUS) || !input.available(type.name, zone, true)) continue;
+      const price = type.spotPrice / type.cpus;
+      if (best === null || price < best.price) best = { type, zone, price };
+    }
+  if (best !== null)
+    rents.set(`swap/${best.type.name}`, { type: best.type.name, zone: best.zone, spot: true, count: 1 });
 }
 
+/** Queued work that starts this soon is no reason to keep a machine. */
+const WAITS_S = 10;
+const LEAST_SWAP_CPUS = 8;
+
 /** A machine used better than this is left alone. */
 const LEAST_WASTE = 0.2;
 
