--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -167,6 +167,7 @@
         usedCpus,
         usedMemoryGb,
         takesTasks: m.takesTasks,
+        images: m.images,
         replicas,
         settled,
       });
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -13,6 +13,7 @@
   readonly idleS: number;
   readonly usedCpus: number;
   readonly takesTasks: boolean;
+  readonly images: ReadonlyMap<string, number>;
   /** Services' tasks on it. */
   readonly replicas: readonly Replica[];
   readonly usedMemoryGb: number;
@@ -28,6 +29,8 @@
   readonly spot: boolean;
   readonly types: readonly string[] | null;
   readonly zone: string | null;
+  /** A move must not wait for its image: only machines that hold it will do. */
+  readonly image: string;
   /** Zones where it may be beside the job's other replicas. */
   readonly zones: ReadonlySet<string> | null;
 }
@@ -266,6 +269,7 @@
   return from.replicas.every((r) => {
     const to = free.find(
       (f) =>
+        f.m.images.has(r.image) &&
         f.cpus >= r.cpus &&
         f.memoryGb >= r.memoryGb &&
         r.gpus <= f.m.type.gpus &&
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -6,7 +6,16 @@
 import { planFleet } from '../src/index.js';
 
 const [s4, m16] = TYPES as readonly [MachineType, MachineType];
-const replica: Replica = { cpus: 2, memoryGb: 2, gpus: 0, spot: false, types: null, zone: null, zones: null };
+const replica: Replica = {
+  cpus: 2,
+  memoryGb: 2,
+  gpus: 0,
+  spot: false,
+  types: null,
+  zone: null,
+  image: 'img',
+  zones: null,
+};
 
 function machine(n: number, type: MachineType, over: Partial<FleetMachine> = {}): FleetMachine {
   return {
@@ -20,6 +29,7 @@
     usedCpus: 0,
     usedMemoryGb: 0,
     takesTasks: true,
+    images: new Map([['img', 1]]),
     replicas: [],
     settled: true,
     ...over,
@@ -112,6 +122,9 @@
     ).drain,
     null,
   );
+  // Moved to a machine without its image, a replica was away for the seconds of the fetch.
+  const bare = { ...other, images: new Map<string, number>(), settled: false };
+  assert.equal(planFleet(input({ machines: [loose, bare] })).drain, null);
   const pinned = { ...loose, replicas: [{ ...replica, zones: new Set(['c']) }] };
   assert.equal(planFleet(input({ machines: [pinned, { ...other, settled: false }] })).drain, null);
 });
