--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -233,7 +233,7 @@
           idleS: this.frugal ? IDLE_RENTED_S : IDLE_STANDING_S,
           targetCpus: target.cpus,
           targetOrdinaryCpus: target.ordinary,
-          bootShare: this.frugal ? 0.25 : 0.15,
+          bootShare: this.frugal ? 0.5 : 0.15,
         },
         available: (type, zone, spot) => now >= (this.refusedUntil.get(`${type}/${zone}/${spot}`) ?? 0),
       });
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -94,8 +94,7 @@
   const rents = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
   const perZone = new Map<string, number>();
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
-  const backlogS = backlog(input);
-  for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone, backlogS);
+  for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
   const release = surplus(input);
   const drain = release.length > 0 ? null : consolidate(input);
   if (drain?.swapCpus !== undefined) swap(input, drain.swapCpus, rents);
@@ -112,7 +111,6 @@
   coming: Coming[],
   rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
   perZone: Map<string, number>,
-  backlogS: number,
 ): void {
   const spec = u.job.spec;
   let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? null) : null);
@@ -153,12 +151,12 @@
     for (const type of input.types) {
       // A machine that would be ready no sooner than the queue gets there is not worth its price.
       if (u.startsInS < type.bootS * input.policy.bootShare) continue;
-      if (slackS > type.bootS && backlogS < type.bootS * BURST_SHARE) continue;
+      if (slackS > type.bootS) continue;
       const zones = type.zones.length > 0 ? type.zones : [...perZone.keys()];
       for (const z of zones)
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
-          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type, backlogS)) continue;
+          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type)) continue;
           const fit = Math.min(
             left,
             Math.floor(type.cpus / Math.max(spec.cpus, 1e-9)),
@@ -196,26 +194,9 @@
 
 const LATE_START_S = 30;
 
-/** Seconds that the machines there are would take for all the work that waits. */
-function backlog(input: FleetInput): number {
-  let work = 0;
-  for (const u of input.unmet)
-    if (u.withinLimit && u.job.spec.kind !== 'service') work += u.tasks * u.job.spec.cpus * u.job.estimateS;
-  let cpus = 0;
-  for (const m of input.machines) if (m.takesTasks || m.booting) cpus += m.type.cpus;
-  return work / Math.max(cpus, 1);
-}
-
-/** A backlog of this many boot times is a burst: jobs yet to come would be late by it. */
-const BURST_SHARE = 1;
-
-/**
- * Ordinary machines for work that may use spot ones: only where its deadline would be missed, or in a
- * burst.
- */
-function pressing(u: Unmet, type: MachineType, backlogS: number): boolean {
+/** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
+function pressing(u: Unmet, type: MachineType): boolean {
   const { spec, ageS, estimateS } = u.job;
-  if (backlogS > type.bootS * BURST_SHARE) return true;
   if (spec.deadlineS === null) return ageS > LATE_START_S;
   return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
