--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -212,7 +212,8 @@
       }
   }
 
-  private get frugal(): boolean {
+  /** A service that started with no machines rents all of them for its work: money is weighed. */
+  get frugal(): boolean {
     return this.standingUpTo === '';
   }
 
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -89,6 +89,10 @@
     return !this.over;
   }
 
+  get frugal(): boolean {
+    return this.fleet.frugal;
+  }
+
   get isReady(): boolean {
     return this.ready;
   }
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -285,6 +285,9 @@
   });
 }
 
+/** Spot machines are cheap to keep: they are given back this many times later. */
+const SPOT_KEEP = 2;
+
 function surplus(input: FleetInput): MachineId[] {
   const { policy } = input;
   if (input.unmet.some((u) => u.withinLimit)) return [];
@@ -298,7 +301,13 @@
   const price = (m: FleetMachine): number => (m.spot ? m.type.spotPrice : m.type.price) / m.type.cpus;
   const release: MachineId[] = [];
   const idle = input.machines
-    .filter((m) => m.returnable && m.usedCpus === 0 && m.takesTasks && m.idleS >= policy.idleS)
+    .filter(
+      (m) =>
+        m.returnable &&
+        m.usedCpus === 0 &&
+        m.takesTasks &&
+        m.idleS >= policy.idleS * (m.spot ? SPOT_KEEP : 1),
+    )
     .sort((a, b) => price(b) - price(a));
   for (const m of idle) {
     if (total - m.type.cpus < policy.targetCpus) continue;
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -42,6 +42,8 @@
 const FRAGMENT_S = 2;
 /** A job past its last milestone by this factor is no longer put behind the others. */
 const PATIENT = 5;
+/** Where money counts, work that may use spot machines takes them even if it ends this much later. */
+const DEAR_S = 4;
 const EPSILON = 1e-6;
 
 interface Load {
@@ -289,7 +291,7 @@
       const busy = c.startS + fetchSeconds(job, m);
       // A service never completes: what counts for it is when it serves.
       c.endS = spec.kind === 'service' ? busy : busy + runS * m.slowness;
-      c.costS = c.endS;
+      c.costS = c.endS + (this.s.frugal && spec.spot && !m.spot ? DEAR_S : 0);
       if (spec.kind === 'service' && this.s.typicalTask !== null)
         c.costS += c.queue.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
     };
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -59,6 +59,8 @@
   readonly machines: readonly MachineView[];
   readonly teams: readonly Team[];
   readonly starvationS: number;
+  /** Whether money is weighed against speed. */
+  readonly frugal: boolean;
   /** The size of task that machines should keep room for, or null while none is known. */
   readonly typicalTask: { readonly cpus: number; readonly memoryGb: number } | null;
 }
