--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -135,7 +135,22 @@
       cpus += d.cpus;
       ordinary = Math.max(ordinary, d.ordinary);
     }
-    return { cpus: (cpus / Math.max(1, this.demand.length)) * HEADROOM, ordinary: ordinary * HEADROOM };
+    return {
+      cpus: (cpus / Math.max(1, this.demand.length)) * HEADROOM,
+      ordinary: ordinary * HEADROOM + this.reserve(),
+    };
+  }
+
+  /** What the loss of one machine would leave without a place: the most that services hold on one. */
+  private reserve(): number {
+    let most = 0;
+    for (const m of this.leader.machines.values()) {
+      if (m.spot || m.state !== 'ready') continue;
+      let cpus = 0;
+      for (const { job } of this.leader.heldOn(m.id)) if (job.spec.kind === 'service') cpus += job.spec.cpus;
+      most = Math.max(most, cpus);
+    }
+    return most;
   }
 
   private view(now: Ms): FleetMachine[] {
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -95,6 +95,7 @@
   const perZone = new Map<string, number>();
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
   for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone);
+  keepReserve(input, rents);
   const release = surplus(input);
   const drain = release.length > 0 ? null : consolidate(input);
   if (drain?.swapCpus !== undefined) swap(input, drain.swapCpus, rents);
@@ -250,6 +251,35 @@
     rents.set(`swap/${best.type.name}`, { type: best.type.name, zone: best.zone, spot: true, count: 1 });
 }
 
+/**
+ * Rents up to what the services need with one machine lost: their replicas must find room at once, and
+ * a boot later is too late. Until then the reserve is open to work that can be stopped for them.
+ */
+function keepReserve(
+  input: FleetInput,
+  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
+): void {
+  if (!input.policy.frugal) return;
+  let ordinary = 0;
+  for (const m of input.machines) if (!m.spot && (m.takesTasks || m.booting)) ordinary += m.type.cpus;
+  for (const r of rents.values())
+    if (!r.spot) ordinary += r.count * (input.types.find((t) => t.name === r.type)?.cpus ?? 0);
+  const missing = input.policy.targetOrdinaryCpus - ordinary;
+  if (missing <= 0) return;
+  let best: { type: MachineType; zone: string; score: number } | null = null;
+  for (const type of input.types)
+    for (const zone of type.zones) {
+      if (!input.available(type.name, zone, false)) continue;
+      const score = type.price / Math.min(type.cpus, missing);
+      if (best === null || score < best.score) best = { type, zone, score };
+    }
+  if (best === null) return;
+  const key = `${best.type.name}/${best.zone}/false`;
+  const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: false, count: 0 };
+  rent.count += 1;
+  rents.set(key, rent);
+}
+
 /** Queued work that starts this soon is no reason to keep a machine. */
 const WAITS_S = 10;
 const LEAST_SWAP_CPUS = 8;
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -128,3 +128,13 @@
   const pinned = { ...loose, replicas: [{ ...replica, zones: new Set(['c']) }] };
   assert.equal(planFleet(input({ machines: [pinned, { ...other, settled: false }] })).drain, null);
 });
+
+// Replicas of a lost machine waited 40 s for a new one to boot.
+test('ordinary room for the loss of one machine is rented ahead', () => {
+  const policy = { ...input({}).policy, targetOrdinaryCpus: 24 };
+  const machines = [machine(1, m16, { usedCpus: 12, replicas: [replica] })];
+  const result = planFleet(input({ machines, policy }));
+  assert.ok(result.rent.length > 0 && result.rent.every((r) => !r.spot));
+  const coming = [...machines, machine(2, m16, { booting: true, takesTasks: false })];
+  assert.deepEqual(planFleet(input({ machines: coming, policy })).rent, []);
+});
