--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -28,6 +28,7 @@
 import { Signal } from './signal.js';
 import { snapshotOf } from './view.js';
 import type { WorkerLink } from './worker-link.js';
+import type { Snapshot } from '@spurbridge/planner';
 import { plan } from '@spurbridge/planner';
 
 export interface LeaderContext {
@@ -89,8 +90,8 @@
     return !this.over;
   }
 
-  get frugal(): boolean {
-    return this.fleet.frugal;
+  get ordinaryMachines(): Snapshot['ordinary'] {
+    return this.fleet.ordinaryMachines;
   }
 
   get isReady(): boolean {
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -76,7 +76,7 @@
     machines,
     teams: settings.teams,
     starvationS: STARVATION_S,
-    frugal: leader.frugal,
+    ordinary: leader.ordinaryMachines,
     typicalTask: leader.estimates.typicalTask(),
   };
 }
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -64,7 +64,7 @@
   teams: TEAMS,
   starvationS: 30,
   typicalTask: null,
-  frugal: false,
+  ordinary: 'alike',
 });
 
 const anyJob = (n: number): fc.Arbitrary<JobView> =>
