--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -1,7 +1,7 @@
 import type { Job, Machine } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
-import type { FleetMachine, Rent, Replica, Snapshot, Unmet } from '@spurbridge/planner';
+import type { FleetMachine, Rent, Replica, Unmet } from '@spurbridge/planner';
 import { planFleet } from '@spurbridge/planner';
 import type { ListedMachine, MachineId } from '@spurbridge/wire';
 import { ABSENT, read } from '@spurbridge/wire';
@@ -228,24 +228,10 @@
   }
 
   /** A service that started with no machines rents all of them for its work: money is weighed. */
-  private get frugal(): boolean {
+  get frugal(): boolean {
     return this.standingUpTo === '';
   }
 
-  /** Ordinary machines beyond what services need are emptied; the others are made use of. */
-  get ordinaryMachines(): Snapshot['ordinary'] {
-    if (!this.frugal) return 'alike';
-    let cpus = 0;
-    let smallest = Infinity;
-    for (const m of this.leader.machines.values()) {
-      if (m.spot || m.state !== 'ready') continue;
-      const size = this.leader.type(m.type)?.cpus ?? 0;
-      cpus += size;
-      smallest = Math.min(smallest, size);
-    }
-    return cpus - this.target().ordinary >= smallest ? 'shun' : 'fill';
-  }
-
   private async fleetLoop(): Promise<void> {
     const { clock, leadership, types } = this.leader.c;
     while (this.leader.active) {
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -28,7 +28,6 @@
 import { Signal } from './signal.js';
 import { snapshotOf } from './view.js';
 import type { WorkerLink } from './worker-link.js';
-import type { Snapshot } from '@spurbridge/planner';
 import { plan } from '@spurbridge/planner';
 
 export interface LeaderContext {
@@ -90,8 +89,8 @@
     return !this.over;
   }
 
-  get ordinaryMachines(): Snapshot['ordinary'] {
-    return this.fleet.ordinaryMachines;
+  get frugal(): boolean {
+    return this.fleet.frugal;
   }
 
   get isReady(): boolean {
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -76,7 +76,7 @@
     machines,
     teams: settings.teams,
     starvationS: STARVATION_S,
-    ordinary: leader.ordinaryMachines,
+    frugal: leader.frugal,
     typicalTask: leader.estimates.typicalTask(),
   };
 }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -42,7 +42,7 @@
 const FRAGMENT_S = 2;
 /** A job past its last milestone by this factor is no longer put behind the others. */
 const PATIENT = 5;
-/** Work that shuns ordinary machines takes a spot one even if it ends this much later. */
+/** Where money counts, work that may use spot machines takes them even if it ends this much later. */
 const DEAR_S = 4;
 const EPSILON = 1e-6;
 
@@ -291,7 +291,7 @@
       const busy = c.startS + fetchSeconds(job, m);
       // A service never completes: what counts for it is when it serves.
       c.endS = spec.kind === 'service' ? busy : busy + runS * m.slowness;
-      c.costS = c.endS + (this.s.ordinary === 'shun' && spec.spot && !m.spot ? DEAR_S : 0);
+      c.costS = c.endS + (this.s.frugal && spec.spot && !m.spot ? DEAR_S : 0);
       if (spec.kind === 'service' && this.s.typicalTask !== null)
         c.costS += c.queue.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
     };
@@ -300,14 +300,12 @@
       if (!allows(job, m) || job.avoid.has(m.id) || (zone !== null && m.zone !== zone)) continue;
       const price = (m.spot ? m.type.spotPrice : m.type.price) / Math.max(m.type.cpus, 1);
       // Among equals the cheaper machine, then the fuller one, so that others empty and can go back.
-      // Room kept for services is paid for already; cheaper machines can empty instead.
-      const paid = this.s.ordinary === 'fill' && spec.spot && !m.spot;
       const c = {
         queue: q,
         startS: 0,
         endS: 0,
         costS: 0,
-        rank: (paid ? 0 : price * 10) - q.usedCpus() / m.type.cpus / 10,
+        rank: price * 10 - q.usedCpus() / m.type.cpus / 10,
         uses: 0,
       };
       refresh(c);
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -59,11 +59,8 @@
   readonly machines: readonly MachineView[];
   readonly teams: readonly Team[];
   readonly starvationS: number;
-  /**
-   * How work that may use spot machines looks at ordinary ones: `alike`; `shun` them, so that they empty
-   * and go back; or `fill` the ones that are kept for services anyway.
-   */
-  readonly ordinary: 'alike' | 'shun' | 'fill';
+  /** Whether money is weighed against speed. */
+  readonly frugal: boolean;
   /** The size of task that machines should keep room for, or null while none is known. */
   readonly typicalTask: { readonly cpus: number; readonly memoryGb: number } | null;
 }
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -64,7 +64,7 @@
   teams: TEAMS,
   starvationS: 30,
   typicalTask: null,
-  ordinary: 'alike',
+  frugal: false,
 });
 
 const anyJob = (n: number): fc.Arbitrary<JobView> =>
