--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -25,6 +25,8 @@
 const IDLE_RENTED_S = 25;
 const IDLE_STANDING_S = 600;
 const HEADROOM = 1.1;
+/** Room kept for replicas of a lost machine, at most this share of what services use. */
+const RESERVE_SHARE = 0.1;
 /** A replica is not moved again before this: a start that is stopped soon after does not count. */
 const SETTLED_MS = 45_000;
 const CONSOLIDATED = 'consolidated';
@@ -137,7 +139,7 @@
     }
     return {
       cpus: (cpus / Math.max(1, this.demand.length)) * HEADROOM,
-      ordinary: ordinary * HEADROOM + this.reserve(),
+      ordinary: ordinary * HEADROOM + Math.min(this.reserve(), ordinary * RESERVE_SHARE),
     };
   }
 
