--- a/packages/model/test/model.test.ts
+++ b/packages/model/test/model.test.ts
@@ -169,3 +169,14 @@
     m.enter('silent');
   });
 });
+
+// Two sound machines were drained because many tasks of one job had been estimated too short.
+test('a machine is called slow by different jobs, not by many tasks of one', () => {
+  const m = new Machine(machine(1), 's4', 'a', false, true, at);
+  for (let task = 0; task < 30; task += 1) m.ran('wk-000001', 4);
+  assert.equal(m.isSlow(1.7), false);
+  for (let job = 2; job < 12; job += 1) m.ran(`wk-00000${job}`, 3);
+  assert.equal(m.isSlow(1.7), true);
+  for (let job = 12; job < 40; job += 1) m.ran(`wk-0000${job}`, 0.9);
+  assert.equal(m.slowness, 1);
+});
