--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -42,6 +42,8 @@
 const FRAGMENT_S = 2;
 /** A job past its last milestone by this factor is no longer put behind the others. */
 const PATIENT = 5;
+/** A service that would serve later than its aim rather takes a whole task's place. */
+const MISS_S = 3;
 /** Where money counts, work that may use spot machines takes them even if it ends this much later. */
 const DEAR_S = 4;
 const EPSILON = 1e-6;
@@ -294,6 +296,7 @@
       c.costS = c.endS + (this.s.frugal && spec.spot && !m.spot ? DEAR_S : 0);
       if (spec.kind === 'service' && this.s.typicalTask !== null)
         c.costS += c.queue.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
+      if (spec.kind === 'service' && c.endS > job.patienceS) c.costS += MISS_S;
     };
     for (const q of this.queues.values()) {
       const m = q.machine;
