--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -39,7 +39,7 @@
   | { readonly code: 421; readonly leader: NodeId }
   | { readonly code: 503 };
 
-const TYPES_KEY_TTL_MS = 60_000;
+const TYPES_MS = 60_000;
 const STATE_LOST_MS = 2500;
 const PROGRESS_KEPT = 5000;
 
@@ -127,7 +127,7 @@
           this.parts.log.error({ error: String(e) }, 'machine types cannot be read');
         }
       }
-      await this.parts.clock.sleep(this.machineTypes.length === 0 ? 700 : TYPES_KEY_TTL_MS);
+      await this.parts.clock.sleep(this.machineTypes.length === 0 ? 700 : TYPES_MS);
     }
   }
 
--- a/packages/net/src/budget.ts
+++ b/packages/net/src/budget.ts
@@ -13,18 +13,13 @@
 
   constructor(
     private readonly clock: Clock,
-    private perSecond: number,
+    private readonly perSecond: number,
     private readonly burst = perSecond,
   ) {
     this.tokens = burst;
     this.at = clock.now();
   }
 
-  setRate(perSecond: number): void {
-    this.refill();
-    this.perSecond = perSecond;
-  }
-
   private refill(): void {
     const now = this.clock.now();
     this.tokens = Math.min(this.burst, this.tokens + ((now - this.at) / 1000) * this.perSecond);
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -48,8 +48,6 @@
   grantLease(ttlMs: number): Promise<GrantOutcome>;
   renewLease(lease: LeaseId): Promise<TouchOutcome>;
   endLease(lease: LeaseId): Promise<void>;
-  /** Last time any request was served. */
-  lastServed(): Ms;
   /** Since when requests have failed without one being served; null while served. */
   failingSince(): Ms | null;
 }
@@ -69,7 +67,6 @@
   private readonly watcher: JsonClient;
   private readonly requests: Budget;
   private readonly writes: Budget;
-  private served: Ms;
   private failing: Ms | null = null;
 
   constructor(
@@ -81,11 +78,6 @@
     this.watcher = new JsonClient(address, 4);
     this.requests = new Budget(clock, limits.rps * 0.6, limits.rps * 0.5);
     this.writes = new Budget(clock, limits.writeRps * 0.8, limits.writeRps * 0.8);
-    this.served = clock.now();
-  }
-
-  lastServed(): Ms {
-    return this.served;
   }
 
   failingSince(): Ms | null {
@@ -104,7 +96,6 @@
       const answer = await client.call(method, path, body, timeoutMs);
       const understood = understand(answer.status, answer.body);
       if (understood !== null) {
-        this.served = this.clock.now();
         this.failing = null;
         return understood;
       }
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -40,7 +40,6 @@
   private current: LeadershipState = 'following';
   private lease: LeaseId | null = null;
   private confirmedAt: Ms | null = null;
-  private stopped = false;
   private standsBackUntil = 0 as Ms;
   private staysUntil = 0 as Ms;
   private ownToken = 0 as Token;
@@ -108,10 +107,6 @@
       this.enter('following', 'a higher token was shown');
   }
 
-  stop(): void {
-    this.stopped = true;
-  }
-
   /** Not again soon after the last time: if nobody does better, what this node sees is true. */
   mayResign(): boolean {
     return this.clock.now() >= this.staysUntil;
@@ -132,8 +127,8 @@
     if (this.current === 'leading' || this.current === 'holding') this.enter('following', reason);
   }
 
-  async run(): Promise<void> {
-    while (!this.stopped) {
+  async run(): Promise<never> {
+    for (;;) {
       if (this.current === 'leading' || this.current === 'holding') await this.renew();
       else await this.follow();
     }
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -158,20 +158,13 @@
 /** The state service as one controller reaches it; `refused` is a 503 that this node alone gets. */
 export class SimStore implements StateStore {
   refused = false;
-  private served: Ms;
   private failing: Ms | null = null;
 
   constructor(
     private readonly state: SimState,
     private readonly host: string,
     private readonly clock: ProcessClock,
-  ) {
-    this.served = clock.now();
-  }
-
-  lastServed(): Ms {
-    return this.served;
-  }
+  ) {}
 
   failingSince(): Ms | null {
     return this.failing;
@@ -187,10 +180,8 @@
       () => (this.state.down || this.refused ? { outcome: 'refused' } : handle()),
     );
     if (!this.clock.alive) return new Promise(() => undefined);
-    if (answer !== null && answer.outcome !== 'refused') {
-      this.served = this.clock.now();
-      this.failing = null;
-    } else this.failing ??= this.clock.now();
+    if (answer !== null && answer.outcome !== 'refused') this.failing = null;
+    else this.failing ??= this.clock.now();
     return answer ?? { outcome: 'unknown' };
   }
 
