Remember demand for 40 s, so that idle machines go back within a minute

Cause: the real-process check found 2 machines rented with nothing to do for a minute on both sites: the demand of the last 60 s kept them. Excluded: the idle time of 25 s, and standing machines (none there).

--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -21,7 +21,7 @@
 const MASS_MS = 1500;
 /** After a takeover, workers find the new leader within this time. */
 const UNHEARD_MS = 7000;
-const PEAK_WINDOW_MS = 60_000;
+const PEAK_WINDOW_MS = 40_000;
 const IDLE_RENTED_S = 25;
 const IDLE_STANDING_S = 600;
 const HEADROOM = 1.1;
