--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -22,6 +22,11 @@
   return v === undefined ? [] : read.asArray(v, field).map((e) => read.asObject(e, field));
 }
 
+/** The platform writes 0 for a limit that it does not set: read as a limit of nothing, it refused every job. */
+function limit(stated: number): number {
+  return stated === 0 ? Infinity : stated;
+}
+
 export function parseSettings(text: string): Settings {
   const o = parse(text) as read.Fields;
   const services = section(o, 'services');
@@ -45,9 +50,9 @@
     teams: list(cluster, 'teams').map((t) => ({
       name: read.name(t, 'name'),
       cpus: read.amount(t, 'cpus'),
-      cpusMax: read.amount(t, 'cpus_max'),
+      cpusMax: limit(read.amount(t, 'cpus_max')),
       gpus: read.optAmount(t, 'gpus') ?? 0,
-      gpusMax: read.optAmount(t, 'gpus_max') ?? 0,
+      gpusMax: limit(read.optAmount(t, 'gpus_max') ?? 0),
     })),
     objectives: list(cluster, 'objectives').map((t) => ({
       kind: read.str(t, 'kind'),
