Gangs keep their places in the queues; fleet counts accelerators, zones and kinds

Fleet size went by CPUs where accelerators run out first, a gang bound to one zone was met by machines under way in two, and any waiting gang kept hundreds of idle spot machines from going back.

--- a/packages/controller/src/estimates.ts
+++ b/packages/controller/src/estimates.ts
@@ -14,15 +14,15 @@
     return Math.max(0.5, spec.estimateS * ratio);
   }
 
-  private readonly sizes: { cpus: number; memoryGb: number }[] = [];
+  private readonly sizes: { cpus: number; gpus: number; memoryGb: number }[] = [];
 
   /** Called for every job that is not a service: what machines should keep room for. */
   sized(spec: JobSpec): void {
-    this.sizes.push({ cpus: spec.cpus, memoryGb: spec.memoryGb });
+    this.sizes.push({ cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb });
     if (this.sizes.length > SIZES) this.sizes.shift();
   }
 
-  typicalTask(): { cpus: number; memoryGb: number } | null {
+  typicalTask(): { cpus: number; gpus: number; memoryGb: number } | null {
     if (this.sizes.length === 0) return null;
     const sorted = [...this.sizes].sort((a, b) => a.cpus - b.cpus);
     return sorted[Math.floor(sorted.length / 2)] ?? null;
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -2,7 +2,7 @@
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
 import type { Beside, FleetMachine, Rent, Replica, Unmet } from '@spurbridge/planner';
-import { planFleet } from '@spurbridge/planner';
+import { effectiveCpus, planFleet } from '@spurbridge/planner';
 import type { ListedMachine, MachineId } from '@spurbridge/wire';
 import { ABSENT, read } from '@spurbridge/wire';
 import { MAX_RELEASE, MAX_RENT } from '@spurbridge/cloud';
@@ -139,15 +139,18 @@
     const now = this.leader.c.clock.now();
     let cpus = 0;
     let ordinary = 0;
+    const types = this.leader.c.types();
     for (const job of this.leader.jobs.values())
       if (job.placements.size > 0) {
-        cpus += job.placements.size * job.spec.cpus;
-        if (!job.spec.spot) ordinary += job.placements.size * job.spec.cpus;
+        const needed = job.placements.size * effectiveCpus(job.spec, types);
+        cpus += needed;
+        if (!job.spec.spot) ordinary += needed;
       }
     for (const u of this.unmet)
       if (u.withinLimit) {
-        cpus += u.tasks * u.job.spec.cpus;
-        if (!u.job.spec.spot) ordinary += u.tasks * u.job.spec.cpus;
+        const needed = u.tasks * effectiveCpus(u.job.spec, types);
+        cpus += needed;
+        if (!u.job.spec.spot) ordinary += needed;
       }
     this.demand.push({ at: now, cpus, ordinary });
     while ((this.demand[0]?.at ?? now) < now - PEAK_WINDOW_MS) this.demand.shift();
@@ -169,10 +172,12 @@
   /** What the loss of one machine would leave without a place: the most that services hold on one. */
   private reserve(): number {
     let most = 0;
+    const types = this.leader.c.types();
     for (const m of this.leader.machines.values()) {
       if (m.spot || m.state !== 'ready') continue;
       let cpus = 0;
-      for (const { job } of this.leader.heldOn(m.id)) if (job.spec.kind === 'service') cpus += job.spec.cpus;
+      for (const { job } of this.leader.heldOn(m.id))
+        if (job.spec.kind === 'service') cpus += effectiveCpus(job.spec, types);
       most = Math.max(most, cpus);
     }
     return most;
@@ -185,11 +190,13 @@
       const type = this.leader.type(m.type);
       if (type === undefined || m.state === 'gone' || m.state === 'releasing') continue;
       let usedCpus = 0;
+      let usedGpus = 0;
       let usedMemoryGb = 0;
       let settled = true;
       const replicas: Replica[] = [];
       for (const { job, task } of this.leader.heldOn(m.id)) {
         usedCpus += job.spec.cpus;
+        usedGpus += job.spec.gpus;
         usedMemoryGb += job.spec.memoryGb;
         if (job.spec.kind === 'gang') settled = false;
         if (job.spec.kind !== 'service' || !consolidates) continue;
@@ -211,6 +218,7 @@
         returnable: m.rented || this.standingUpTo === '',
         idleS: m.idleSince === null ? 0 : (now - m.idleSince) / 1000,
         usedCpus,
+        usedGpus,
         usedMemoryGb,
         takesTasks: m.takesTasks,
         images: m.images,
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -109,6 +109,7 @@
     ageS: (now - job.submittedAt) / 1000,
     estimateS: leader.estimates.expect(job.spec),
     milestonesS: milestones(leader, job),
+    startMilestonesS: startMilestones(leader, job),
     patienceS: patience(leader, job, (now - job.submittedAt) / 1000),
     avoid: job.failedOn,
     order,
@@ -132,6 +133,13 @@
   return withinS - ageS - 1 > 0 ? withinS - ageS - 1 : LATE_PATIENCE_S;
 }
 
+function startMilestones(leader: Leader, job: Job): number[] {
+  const ages: number[] = [];
+  for (const o of leader.c.settings.objectives)
+    if (o.class === job.spec.class && o.kind === 'wait' && o.withinS !== null) ages.push(o.withinS);
+  return ages.sort((a, b) => a - b);
+}
+
 function milestones(leader: Leader, job: Job): number[] {
   const { spec } = job;
   const ages: number[] = [];
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -1,5 +1,5 @@
 import { fitsType } from '@spurbridge/model';
-import type { MachineId, MachineType } from '@spurbridge/wire';
+import type { JobSpec, MachineId, MachineType } from '@spurbridge/wire';
 import type { Unmet } from './plan.js';
 
 export interface FleetMachine {
@@ -12,6 +12,7 @@
   readonly returnable: boolean;
   readonly idleS: number;
   readonly usedCpus: number;
+  readonly usedGpus: number;
   readonly takesTasks: boolean;
   readonly images: ReadonlyMap<string, number>;
   /** Services' tasks on it. */
@@ -137,7 +138,7 @@
       // After a takeover, machines not heard yet are full of what the records say: taken for empty ones
       // under way, hundreds of them kept a burst from being met for half a minute.
       cpus: m.type.cpus - m.usedCpus,
-      gpus: m.usedCpus > 0 ? 0 : m.type.gpus,
+      gpus: m.type.gpus - m.usedGpus,
       memoryGb: m.type.memoryGb - m.usedMemoryGb,
     }));
   const rents = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
@@ -170,7 +171,7 @@
   attention: () => number,
 ): void {
   const spec = u.job.spec;
-  let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? null) : null);
+  let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? u.zone ?? roomiest(u, coming)) : null);
   const inZone = new Map<string, number>();
   for (const z of u.job.zones) inZone.set(z, (inZone.get(z) ?? 0) + 1);
   const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
@@ -216,11 +217,7 @@
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
           if (input.policy.frugal && spec.spot && !spot && !pressing(u, type)) continue;
-          const places = Math.min(
-            Math.floor(type.cpus / Math.max(spec.cpus, 1e-9)),
-            Math.floor(type.memoryGb / Math.max(spec.memoryGb, 1e-9)),
-            spec.gpus > 0 ? Math.floor(type.gpus / spec.gpus) : Infinity,
-          );
+          const places = placesOn(spec, type);
           const fit = Math.min(left, places * turns(u, type.bootS));
           if (fit < 1) continue;
           const price = spot ? type.spotPrice : type.price;
@@ -252,6 +249,47 @@
   }
 }
 
+/**
+ * The zone where most tasks of a job bound to one fit what is under way: counted over all zones, a gang
+ * was met by halves and nothing was rented for it.
+ */
+function roomiest(u: Unmet, coming: readonly Coming[]): string | null {
+  const { spec } = u.job;
+  const places = new Map<string, number>();
+  for (const c of coming) {
+    if ((c.spot && !spec.spot) || !fitsType(spec, c.type)) continue;
+    const fit = placesOn(spec, c);
+    if (fit > 0) places.set(c.zone, (places.get(c.zone) ?? 0) + fit);
+  }
+  let best: string | null = null;
+  for (const [zone, n] of places)
+    if (best === null || Math.min(n, u.tasks) > Math.min(places.get(best) ?? 0, u.tasks)) best = zone;
+  return best;
+}
+
+/** How many tasks of this size fit. */
+function placesOn(spec: JobSpec, on: { cpus: number; gpus: number; memoryGb: number }): number {
+  return Math.min(
+    Math.floor(on.cpus / Math.max(spec.cpus, 1e-9) + 1e-9),
+    Math.floor(on.memoryGb / Math.max(spec.memoryGb, 1e-9) + 1e-9),
+    spec.gpus > 0 ? Math.floor(on.gpus / spec.gpus + 1e-9) : Infinity,
+  );
+}
+
+/**
+ * What a task takes of the machines it fits, in CPUs: where accelerators or memory run out first, its
+ * CPUs alone say too little.
+ */
+export function effectiveCpus(spec: JobSpec, types: readonly MachineType[]): number {
+  let least = Infinity;
+  for (const t of types) if (fitsType(spec, t)) least = Math.min(least, shareOf(spec, t) * t.cpus);
+  return least === Infinity ? spec.cpus : least;
+}
+
+function shareOf(need: { cpus: number; gpus: number; memoryGb: number }, t: MachineType): number {
+  return Math.max(need.cpus / t.cpus, need.gpus > 0 ? need.gpus / t.gpus : 0, need.memoryGb / t.memoryGb);
+}
+
 const LATE_START_S = 30;
 
 /** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
@@ -283,8 +321,7 @@
     const missing = policy.targetCpus - (total - m.type.cpus);
     if (m.spot && missing > 0) continue;
     const price = m.spot ? m.type.spotPrice : m.type.price;
-    const replicaCpus = m.replicas.reduce((sum, r) => sum + r.cpus, 0);
-    const waste = 1 - replicaCpus / m.type.cpus;
+    const waste = 1 - m.replicas.reduce((sum, r) => sum + shareOf(r, m.type), 0);
     const gain = (price * waste) / m.replicas.length;
     if (waste >= LEAST_WASTE) options.push({ machine: m, gain, missing });
   }
@@ -358,6 +395,7 @@
     .map((m) => ({
       m,
       cpus: m.type.cpus - m.usedCpus,
+      gpus: m.type.gpus - m.usedGpus,
       memoryGb: m.type.memoryGb - m.usedMemoryGb,
     }))
     .sort((a, b) => a.cpus - b.cpus);
@@ -367,7 +405,7 @@
         f.m.images.has(r.image) &&
         f.cpus >= r.cpus &&
         f.memoryGb >= r.memoryGb &&
-        r.gpus <= f.m.type.gpus &&
+        r.gpus <= f.gpus &&
         (!f.m.spot || r.spot) &&
         (r.zone === null || r.zone === f.m.zone) &&
         (r.beside === null || mayMove(r.beside, from.zone, f.m.zone)) &&
@@ -375,6 +413,7 @@
     );
     if (to === undefined) return false;
     to.cpus -= r.cpus;
+    to.gpus -= r.gpus;
     to.memoryGb -= r.memoryGb;
     return true;
   });
@@ -385,7 +424,9 @@
 
 function surplus(input: FleetInput): MachineId[] {
   const { policy } = input;
-  if (input.unmet.some((u) => u.withinLimit)) return [];
+  // Work that waits for machines of one kind is no reason to keep others that it may not use.
+  const wanted = (m: FleetMachine): boolean =>
+    input.unmet.some((u) => u.withinLimit && (!m.spot || u.job.spec.spot) && fitsType(u.job.spec, m.type));
   let total = 0;
   let ordinary = 0;
   for (const m of input.machines) {
@@ -401,7 +442,8 @@
         m.returnable &&
         m.usedCpus === 0 &&
         m.takesTasks &&
-        m.idleS >= policy.idleS * (m.spot ? SPOT_KEEP : 1),
+        m.idleS >= policy.idleS * (m.spot ? SPOT_KEEP : 1) &&
+        !wanted(m),
     )
     .sort((a, b) => price(b) - price(a));
   for (const m of idle) {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -25,6 +25,8 @@
   /** Whether the team's limit lets it start at all now. */
   readonly withinLimit: boolean;
   readonly guaranteed: boolean;
+  /** Where the rest of a job bound to one zone has its places, or null. */
+  readonly zone: string | null;
 }
 
 export interface Plan {
@@ -77,6 +79,7 @@
   private gpus: number;
   private memoryGb: number;
   private serviceCpus = 0;
+  private serviceGpus = 0;
   private serviceMemoryGb = 0;
 
   private constructor(
@@ -108,6 +111,7 @@
     this.memoryGb -= need.memoryGb;
     if (endS < Infinity) return;
     this.serviceCpus += need.cpus;
+    this.serviceGpus += need.gpus;
     this.serviceMemoryGb += need.memoryGb;
   }
 
@@ -118,6 +122,7 @@
     copy.gpus = this.gpus;
     copy.memoryGb = this.memoryGb;
     copy.serviceCpus = this.serviceCpus;
+    copy.serviceGpus = this.serviceGpus;
     copy.serviceMemoryGb = this.serviceMemoryGb;
     return copy;
   }
@@ -176,12 +181,18 @@
   }
 
   /** How many tasks of a size fit beside services alone, now and with one more service. */
-  slotsLost(service: { cpus: number; memoryGb: number }, task: { cpus: number; memoryGb: number }): number {
+  slotsLost(service: Need, task: Need): number {
     const cpus = this.machine.type.cpus - this.serviceCpus;
+    const gpus = this.machine.type.gpus - this.serviceGpus;
     const memory = this.machine.type.memoryGb - this.serviceMemoryGb;
-    const slots = (c: number, g: number): number =>
-      Math.max(0, Math.floor(Math.min(c / task.cpus, g / Math.max(task.memoryGb, EPSILON)) + EPSILON));
-    return slots(cpus, memory) - slots(cpus - service.cpus, memory - service.memoryGb);
+    const slots = (c: number, g: number, m: number): number => {
+      const byGpus = task.gpus > 0 ? g / task.gpus : Infinity;
+      const least = Math.min(c / task.cpus, byGpus, m / Math.max(task.memoryGb, EPSILON));
+      return Math.max(0, Math.floor(least + EPSILON));
+    };
+    return (
+      slots(cpus, gpus, memory) - slots(cpus - service.cpus, gpus - service.gpus, memory - service.memoryGb)
+    );
   }
 }
 
@@ -338,8 +349,15 @@
       const m = q.machine;
       const price = (m.spot ? m.type.spotPrice : m.type.price) / Math.max(m.type.cpus, 1);
       // Among equals the cheaper machine, then the fuller one, so that others empty and can go back.
-      const used = m.occupants.reduce((sum, o) => sum + o.cpus, 0);
-      rank[i] = price * 10 - used / m.type.cpus / 10;
+      let cpus = 0;
+      let gpus = 0;
+      for (const o of m.occupants) {
+        cpus += o.cpus;
+        gpus += o.gpus;
+      }
+      // How full a machine is goes by what runs out first.
+      const used = Math.max(cpus / m.type.cpus, m.type.gpus > 0 ? gpus / m.type.gpus : 0);
+      rank[i] = price * 10 - used / 10;
       let zone = this.zones.indexOf(m.zone);
       if (zone < 0) zone = this.zones.push(m.zone) - 1;
       this.zoneOf[i] = zone;
@@ -450,7 +468,11 @@
     const milestoneS = job.milestonesS[level];
     const last = job.milestonesS.at(-1);
     if (milestoneS === undefined || last === undefined || job.ageS > last * PATIENT) return false;
-    return job.ageS + completionS > milestoneS;
+    if (job.ageS + completionS <= milestoneS) return false;
+    // A job too long to be complete in time may still start in time: put behind all others, long gangs
+    // missed that as well.
+    const startS = job.startMilestonesS[level];
+    return startS === undefined || job.ageS + completionS - job.estimateS > startS;
   }
 
   private isStarved(job: JobView): boolean {
@@ -573,11 +595,18 @@
       if (within > 0) {
         const startsInS =
           this.queues.length === 0 ? Infinity : Math.max(0, pool.freeAt(spec.cpus), pool.doneAt(work) - runS);
-        this.unmet.push({ job, tasks: within, startsInS, withinLimit: true, guaranteed });
+        this.unmet.push({ job, tasks: within, startsInS, withinLimit: true, guaranteed, zone: null });
       }
       const limited = job.pendingCount - within;
       if (limited > 0)
-        this.unmet.push({ job, tasks: limited, startsInS: Infinity, withinLimit: false, guaranteed });
+        this.unmet.push({
+          job,
+          tasks: limited,
+          startsInS: Infinity,
+          withinLimit: false,
+          guaranteed,
+          zone: null,
+        });
     }
   }
 
@@ -711,14 +740,18 @@
         for (const c of e.choices) this.start(job, c, room);
         this.adopt(e);
       } else {
-        // Room is kept for a gang only once it is starved; otherwise others go ahead of it.
-        if (whole && this.isStarved(job)) this.adopt(e);
+        // It keeps its places in the queues, as any cotask: when only starved gangs did, all that waited
+        // counted on the same room, and nothing was rented for the others until they were late.
+        if (whole && fits(job.pending.length)) this.adopt(e);
+        // Only what has no room now is rented for, beside the tasks that have.
+        const placed = e.choices[0];
         this.unmet.push({
           job,
-          tasks: job.pending.length,
+          tasks: e.unplaced + e.choices.filter((c) => c.startS > 0).length,
           startsInS: e.unplaced > 0 ? Infinity : Math.max(...e.choices.map((c) => c.startS)),
           withinLimit: fits(job.pending.length),
           guaranteed,
+          zone: spec.oneZone && placed !== undefined ? this.zoneAt(placed.at) : null,
         });
       }
       return;
@@ -762,15 +795,26 @@
     const more = Math.max(0, e.unplaced + (limited === 0 ? job.pendingCount - job.pending.length : 0));
     if (e.unplaced > 0) startsInS = Infinity;
     if (late + more > 0)
-      this.unmet.push({ job, tasks: late + more, startsInS, withinLimit: true, guaranteed });
+      this.unmet.push({ job, tasks: late + more, startsInS, withinLimit: true, guaranteed, zone: null });
     if (limited > 0)
-      this.unmet.push({ job, tasks: limited, startsInS: Infinity, withinLimit: false, guaranteed });
+      this.unmet.push({
+        job,
+        tasks: limited,
+        startsInS: Infinity,
+        withinLimit: false,
+        guaranteed,
+        zone: null,
+      });
     if (limited > 0) return;
     const waits = delayed.filter((c) => c.startS > job.patienceS).map((c) => c.endS);
     for (let i = 0; i < e.unplaced; i += 1) waits.push(Infinity);
     if (waits.length > 0) this.preempt(job, waits, guaranteed);
   }
 
+  private zoneAt(at: number): string {
+    return this.zones[this.zoneOf[at] as number] as string;
+  }
+
   private start(job: JobView, c: Choice, room: { cpus: number; gpus: number }): void {
     room.cpus -= job.spec.cpus;
     room.gpus -= job.spec.gpus;
@@ -893,7 +937,8 @@
 function lateness(j: JobView): number {
   const last = j.milestonesS.at(-1);
   if (last === undefined || j.pending.length === 0 || j.ageS > last * PATIENT) return 0;
-  return j.milestonesS.filter((m) => j.ageS + j.estimateS > m).length;
+  return j.milestonesS.filter((m, i) => j.ageS + j.estimateS > m && j.ageS > (j.startMilestonesS[i] ?? -1))
+    .length;
 }
 
 /**
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -45,6 +45,8 @@
   readonly estimateS: number;
   /** Ages, in order, by which its class's aims want it complete. */
   readonly milestonesS: readonly number[];
+  /** Ages, in order, by which its class's aims want all of it started. */
+  readonly startMilestonesS: readonly number[];
   /** Seconds that it can still wait without anybody minding. */
   readonly patienceS: number;
   readonly avoid: ReadonlySet<MachineId>;
@@ -62,7 +64,7 @@
   /** Whether money is weighed against speed. */
   readonly frugal: boolean;
   /** The size of task that machines should keep room for, or null while none is known. */
-  readonly typicalTask: { readonly cpus: number; readonly memoryGb: number } | null;
+  readonly typicalTask: { readonly cpus: number; readonly gpus: number; readonly memoryGb: number } | null;
 }
 
 export const PRIORITY_ORDER: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -27,6 +27,7 @@
     returnable: true,
     idleS: 0,
     usedCpus: 0,
+    usedGpus: 0,
     usedMemoryGb: 0,
     takesTasks: true,
     images: new Map([['img', 1]]),
@@ -48,12 +49,21 @@
     ageS: 0,
     estimateS: spec.estimateS,
     milestonesS: [],
+    startMilestonesS: [],
     patienceS: 1,
     avoid: new Set<MachineId>(),
     order: 0,
     startable: true,
   };
-  return { job, tasks: spec.tasks, startsInS: Infinity, withinLimit: true, guaranteed: true, ...more };
+  return {
+    job,
+    tasks: spec.tasks,
+    startsInS: Infinity,
+    withinLimit: true,
+    guaranteed: true,
+    zone: null,
+    ...more,
+  };
 }
 
 function input(over: Partial<FleetInput>): FleetInput {
@@ -180,3 +190,30 @@
   const coming = [...machines, machine(2, m16, { booting: true, takesTasks: false })];
   assert.deepEqual(planFleet(input({ machines: coming, policy })).rent, []);
 });
+
+test('cheap machines go back while only ordinary ones are wanted', () => {
+  const idle = { idleS: 100 };
+  const machines = [machine(1, s4, { spot: true, ...idle }), machine(2, s4, idle)];
+  const waiting = unmet({ kind: 'gang', spot: false, cpus: 2, tasks: 1 }, { startsInS: 5 });
+  assert.deepEqual(planFleet(input({ machines, unmet: [waiting] })).release, ['n-1']);
+});
+
+test('a gang bound to a zone is not met by machines under way in two', () => {
+  const half = (n: number, zone: string): FleetMachine => machine(n, s4, { zone, booting: true });
+  const gang = unmet({ kind: 'gang', spot: false, oneZone: true, cpus: 4, memoryGb: 2, tasks: 2 });
+  const { rent } = planFleet(input({ machines: [half(1, 'a'), half(2, 'b')], unmet: [gang] }));
+  assert.deepEqual(
+    rent.map((r) => [r.zone, r.count]),
+    [['a', 1]],
+  );
+});
+
+test('replicas with accelerators are moved only where accelerators are free', () => {
+  const g8 = TYPES[2] as MachineType;
+  const fits = { ...replica, gpus: 2 };
+  const from = machine(1, g8, { replicas: [fits], usedCpus: 2, usedGpus: 2, usedMemoryGb: 2 });
+  const to = (usedGpus: number): FleetMachine => machine(2, g8, { usedCpus: 2, usedGpus, settled: false });
+  const drained = (usedGpus: number): unknown => planFleet(input({ machines: [from, to(usedGpus)] })).drain;
+  assert.equal(drained(3), null);
+  assert.equal(drained(2), from.id);
+});
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -19,6 +19,7 @@
     ageS: 0,
     estimateS: Math.max(spec.estimateS, 0.5),
     milestonesS: [],
+    startMilestonesS: [],
     patienceS: 1,
     avoid: new Set(),
     order: Number(spec.id.slice(3)),
@@ -294,6 +295,44 @@
 
 test('replicas stay off machines that a whole task would fit', () => {
   const service = view(jobSpec({ id: id(1), kind: 'service', cpus: 1, tasks: 1, spot: false }));
-  const s = { ...snapshot([service], [machine(0, 1), machine(1, 0)]), typicalTask: { cpus: 8, memoryGb: 8 } };
+  const s = {
+    ...snapshot([service], [machine(0, 1), machine(1, 0)]),
+    typicalTask: { cpus: 8, gpus: 0, memoryGb: 8 },
+  };
   assert.equal(plan(s).starts[0]?.machine, machine(1, 0).id);
 });
+
+test('a waiting gang keeps its places, so that the next one is known to start later', () => {
+  const gang = (n: number): JobView =>
+    view(
+      jobSpec({
+        id: id(n),
+        kind: 'gang',
+        gpus: 4,
+        cpus: 2,
+        tasks: 1,
+        spot: false,
+        oneZone: true,
+        estimateS: 20,
+      }),
+    );
+  const full = machine(0, 2, { occupants: [occupant({ cpus: 2, gpus: 4, remainingS: 10, movable: false })] });
+  const { starts, unmet } = plan(snapshot([gang(1), gang(2)], [full]));
+  assert.deepEqual(starts, []);
+  assert.deepEqual(
+    unmet.map((u) => Math.round(u.startsInS)),
+    [10, 31],
+  );
+});
+
+test('a gang too long for its last aim still starts in time for its first', () => {
+  const aims = { milestonesS: [40], startMilestonesS: [30], pending: [0] };
+  const gang = { kind: 'gang', gpus: 4, cpus: 2, tasks: 1, spot: false, estimateS: 60 } as const;
+  const long = view(jobSpec({ id: id(1), ...gang }), { ...aims, summedWaitS: 50 });
+  const short = view(jobSpec({ id: id(2), ...gang, estimateS: 5 }), aims);
+  const s = { ...snapshot([long, short], [machine(0, 2)]), starvationS: 30 };
+  assert.deepEqual(
+    plan(s).starts.map((x) => x.job),
+    [id(1)],
+  );
+});
