Gangs: explicit life, replaced before their start, kept back for slow fetches, room as a whole

Now waiting is doubted the more the longer it lasts, gangs may have lower work stopped for all their tasks or none, replicas keep to machines that serve, jobs too long for their last aim still start in time.

--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -70,6 +70,9 @@
 const FAULTY_MACHINE_JOBS = 2;
 const SLOW_FACTOR = 1.7;
 const SAVE_MARGIN_S = 4;
+/** An image may take this many times its nominal time: a slow machine, and another image beside it. */
+const SLOWEST_FETCH = 2.25;
+const GANG_MARGIN_S = 10;
 
 interface Held {
   readonly job: Job;
@@ -284,7 +287,7 @@
   }
 
   /** A task is proven to be off its machine. */
-  private gone(job: Job, p: Placement, done: boolean, why: string): void {
+  private gone(job: Job, p: Placement, done: boolean, why: string, withMachine = false): void {
     const now = this.c.clock.now();
     const machine = this.machines.get(p.machine);
     const name = formatTaskName(job.spec.id, p.task);
@@ -295,8 +298,16 @@
     if (machine !== undefined && (on === undefined || on.size === 0)) machine.idleSince = now;
     this.changed.add(job.spec.id);
     this.recorder.dirty(job, p.task, false);
-    // A gang that lost a task cannot go on: the rest is told, so that all can start anew together.
-    if (job.spec.kind === 'gang' && !done && job.state === 'active') this.stopGang(job, 0, 'gang');
+    // A gang that lost a task cannot go on: the rest is told, so that all can start anew together. Where it
+    // surely has not started, a replacement under the same attempt completes it; but a machine that still
+    // knows this attempt of the task would not start it again.
+    if (
+      job.spec.kind === 'gang' &&
+      !done &&
+      job.state === 'active' &&
+      !(withMachine && job.awaitsReplacement)
+    )
+      this.stopGang(job, 0, 'gang');
     this.checkFinished(job);
     this.replan.raise();
   }
@@ -311,6 +322,27 @@
     for (const id of machines) this.push(id);
   }
 
+  private pushGang(job: Job): void {
+    for (const p of job.placements.values()) if (p.state === 'starting') this.push(p.machine);
+  }
+
+  /**
+   * Whether a gang's task, whose machine has the image, is not started yet because another one may fetch
+   * it for longer than the first may wait: it would exit as incomplete, and the gang with it, each time.
+   */
+  private isKeptBack(job: Job, p: Placement): boolean {
+    const { spec } = job;
+    const m = this.machines.get(p.machine);
+    if (spec.kind !== 'gang' || spec.tasks === 1 || m?.images.has(spec.image) !== true) return false;
+    const type = this.type(m.type);
+    const slowestS = type === undefined ? 0 : (spec.imageGb / type.fetchGbPerS) * SLOWEST_FETCH;
+    if (slowestS <= this.c.settings.workers.gangWaitS - GANG_MARGIN_S) return false;
+    for (const other of job.placements.values())
+      if (other.state !== 'waiting' && this.machines.get(other.machine)?.images.has(spec.image) !== true)
+        return true;
+    return false;
+  }
+
   private checkFinished(job: Job): void {
     if (job.state === 'active' && job.doneCount === job.spec.tasks) {
       job.enter('closing');
@@ -323,7 +355,7 @@
     for (const { job, task } of [...this.heldOn(id)]) {
       const p = job.placements.get(task);
       if (p !== undefined && p.machine === id && (before === null || p.session < before))
-        this.gone(job, p, false, why);
+        this.gone(job, p, false, why, true);
     }
   }
 
@@ -443,7 +475,10 @@
             m.useImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0);
             this.c.log.debug({ task: name, machine: m.id, image: job.spec.image }, 'task runs');
           }
+          const before = p.state;
           job.reported(task, t.phase, now);
+          // Those that were kept back for the slower ones may start now.
+          if (t.phase === 'waiting' && before !== 'waiting') this.pushGang(job);
         }
       } else if (
         p.stop !== null &&
@@ -525,6 +560,7 @@
         const saving = p.state === 'saving' && p.stop.reason !== 'cancelled';
         if (!saving && p.state !== 'intended') commands.push({ op: 'stop', ...id, graceS: p.stop.graceS });
       } else if (p.state === 'starting' && job.state === 'active') {
+        if (this.isKeptBack(job, p)) continue;
         if (repeat || !m.unanswered.has(startName(job.spec.id, task, p.attempt)))
           commands.push({ op: 'start', ...id });
       }
@@ -616,7 +652,7 @@
       if (job === undefined || machine?.session === null || machine === undefined) continue;
       let shared: Attempt | null = null;
       if (job.spec.kind === 'gang') {
-        shared = gangs.get(s.job) ?? job.nextGangAttempt();
+        shared = gangs.get(s.job) ?? job.gangAttempt();
         gangs.set(s.job, shared);
       }
       const p = job.intend(s.task, s.machine, machine.session, now, shared);
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -95,8 +95,9 @@
   const zones: string[] = [];
   if (job.pendingCount > 0)
     for (const p of job.placements.values()) zones.push(leader.machines.get(p.machine)?.zone ?? '');
-  // A gang starts as a whole: while any task of the old attempt may be there, none can.
-  const blocked = job.spec.kind === 'gang' && job.placements.size > 0;
+  // A gang starts as a whole: while any task of the old attempt may be there, none can, but for what
+  // completes an attempt that has not started.
+  const blocked = job.spec.kind === 'gang' && job.placements.size > 0 && !job.awaitsReplacement;
   const pending = blocked ? [] : job.pending(job.spec.kind === 'gang' ? job.spec.tasks : PLAN_TASKS);
   const waitS = Math.max(0, now - Math.max(job.submittedAt, job.waitingSince)) / 1000;
   return {
--- /dev/null
+++ b/packages/model/src/gang.ts
@@ -0,0 +1,104 @@
+import type { Attempt } from '@spurbridge/wire';
+import type { Placement } from './job.js';
+import { Transitions } from './transition.js';
+
+/**
+ * The life of a gang's attempt, read off its placements.
+ * `gone`: none of its tasks may be on a machine. `intended`: an intent is not durable yet. `fetching`:
+ * starts are out, some task has no image yet. `waiting`: every task that is there waits for the others.
+ * `running`, `saving`: a task was seen to. `breaking`: it lost a task or is being stopped, and the rest has
+ * to go before it starts anew. `done`: complete.
+ */
+export type GangState =
+  'gone' | 'intended' | 'fetching' | 'waiting' | 'running' | 'saving' | 'breaking' | 'done';
+
+const transitions = new Transitions<GangState>('gang', {
+  gone: ['intended', 'fetching', 'waiting', 'running', 'saving', 'breaking', 'done'],
+  // Before it has started a lost task may be replaced under the same attempt: hence the ways back.
+  intended: ['fetching', 'waiting', 'running', 'saving', 'breaking', 'gone', 'done'],
+  fetching: ['intended', 'waiting', 'running', 'saving', 'breaking', 'gone', 'done'],
+  waiting: ['intended', 'fetching', 'running', 'saving', 'breaking', 'gone', 'done'],
+  running: ['saving', 'breaking', 'gone', 'done'],
+  saving: ['breaking', 'gone', 'done'],
+  breaking: ['gone', 'done'],
+  done: [],
+});
+
+/** Tasks that run together under one attempt, or not at all. */
+export class Gang {
+  private phase: GangState = 'gone';
+  private shared: Attempt | null = null;
+
+  constructor(private readonly tasks: number) {}
+
+  get state(): GangState {
+    return this.phase;
+  }
+
+  /** The attempt that its tasks share, while any of them may be on a machine. */
+  get attempt(): Attempt | null {
+    return this.shared;
+  }
+
+  /** The only function that changes the gang's state. */
+  private enter(next: GangState): void {
+    if (next === this.phase) return;
+    transitions.check(this.phase, next);
+    this.phase = next;
+  }
+
+  /** Follows what became of its tasks; called after every change to one of them. */
+  follow(placements: ReadonlyMap<number, Placement>, doneCount: number): void {
+    if (this.phase === 'done') return;
+    this.shared = null;
+    let next: GangState = 'waiting';
+    for (const p of placements.values()) {
+      this.shared = p.attempt;
+      next = later(next, stageOf(p));
+    }
+    const lost = placements.size + doneCount < this.tasks;
+    if (doneCount === this.tasks) next = 'done';
+    else if (placements.size === 0) next = 'gone';
+    else if (this.phase === 'breaking' || (this.started && lost)) next = 'breaking';
+    // What has started has started, whatever a late report says.
+    else if (this.started) next = later(this.phase, next);
+    this.enter(next);
+  }
+
+  private get started(): boolean {
+    return this.phase === 'running' || this.phase === 'saving';
+  }
+
+  /**
+   * Whether a lost task may be replaced under the same attempt. That takes every other task to have been
+   * seen to fetch or to wait: restored from a record alone, the gang may have been running, and a
+   * replacement would then wait for nobody.
+   */
+  awaitsReplacement(placements: ReadonlyMap<number, Placement>, doneCount: number): boolean {
+    if (this.phase !== 'fetching' && this.phase !== 'waiting') return false;
+    if (doneCount > 0 || placements.size === 0 || placements.size >= this.tasks) return false;
+    for (const p of placements.values())
+      if (p.stop !== null || (p.state !== 'fetching' && p.state !== 'waiting')) return false;
+    return true;
+  }
+}
+
+const STAGES: readonly GangState[] = ['waiting', 'fetching', 'intended', 'running', 'saving', 'breaking'];
+
+/** Of two stages, the one that says more of the gang as a whole. */
+function later(a: GangState, b: GangState): GangState {
+  return STAGES.indexOf(b) > STAGES.indexOf(a) ? b : a;
+}
+
+function stageOf(p: Placement): GangState {
+  if (p.state === 'saving') return 'saving';
+  if (p.stop !== null) return p.stop.graceS > 0 && p.state === 'running' ? 'saving' : 'breaking';
+  switch (p.state) {
+    case 'intended':
+    case 'waiting':
+    case 'running':
+      return p.state;
+    default:
+      return 'fetching';
+  }
+}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,4 @@
+export * from './gang.js';
 export * from './job.js';
 export * from './machine.js';
 export * from './record.js';
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -1,6 +1,7 @@
 import type { Ms } from '@spurbridge/net';
 import type { Attempt, JobSpec, MachineId, Session, TaskPhase, Version } from '@spurbridge/wire';
 import { ABSENT } from '@spurbridge/wire';
+import { Gang } from './gang.js';
 import { Transitions } from './transition.js';
 
 /**
@@ -66,6 +67,8 @@
   private readonly live = new Map<number, Mutable<Placement>>();
   private doneTotal = 0;
   readonly chunks: Chunk[];
+  /** What holds its tasks together, for a gang. */
+  readonly gang: Gang | null;
   /** Consecutive failures of this job's tasks on different machines, without a success between. */
   readonly failedOn = new Set<MachineId>();
   errors = 0;
@@ -84,6 +87,7 @@
   ) {
     this.doneTasks = new Uint8Array(spec.tasks);
     this.waitingSince = submittedAt;
+    this.gang = spec.kind === 'gang' ? new Gang(spec.tasks) : null;
     this.chunks = Array.from({ length: Math.ceil(spec.tasks / chunkSize) }, (_, index) => ({
       index,
       version: ABSENT,
@@ -174,11 +178,23 @@
       stop: null,
     };
     this.live.set(task, placement);
+    this.followGang();
     return placement;
   }
 
-  /** The next attempt that all tasks of a gang share. */
-  nextGangAttempt(): Attempt {
+  private followGang(): void {
+    this.gang?.follow(this.live, this.doneTotal);
+  }
+
+  /** Whether tasks that wait are to complete a gang whose others are there already. */
+  get awaitsReplacement(): boolean {
+    return this.gang?.awaitsReplacement(this.live, this.doneTotal) === true;
+  }
+
+  /** The attempt that the tasks of a gang share: the present one while any of them is there. */
+  gangAttempt(): Attempt {
+    const shared = this.gang?.attempt ?? null;
+    if (shared !== null) return shared;
     return (Math.max(...this.chunks.map((c) => c.attempts)) + 1) as Attempt;
   }
 
@@ -193,6 +209,7 @@
     if (task < this.spec.tasks && this.doneTasks[task] === 0) {
       this.doneTasks[task] = 1;
       this.doneTotal += 1;
+      this.followGang();
     }
   }
 
@@ -208,6 +225,7 @@
       runningAt: null,
       stop: null,
     });
+    this.followGang();
   }
 
   /** The only function that changes a placement's state. */
@@ -217,6 +235,7 @@
     placement.state = next;
     placement.since = now;
     if (next === 'running') placement.runningAt ??= now;
+    if (next !== 'gone') this.followGang();
   }
 
   /** The intent is durable: starts may go out from here on. */
@@ -244,6 +263,7 @@
       this.cursor = Math.min(this.cursor, task);
       this.waitingSince = now;
     }
+    this.followGang();
   }
 
   askStop(task: number, graceS: number, reason: StopReason, now: Ms): void {
@@ -252,6 +272,7 @@
     // A cancellation overrides a stop with grace: nobody has any use for what would be saved.
     if (p.stop === null || (reason === 'cancelled' && p.stop.reason !== 'cancelled'))
       p.stop = { at: now, graceS, reason };
+    this.followGang();
   }
 
   doneRanges(chunk: Chunk): string {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -51,6 +51,12 @@
 const MISS_S = 3;
 /** Where money counts, work that may use spot machines takes them even if it ends this much later. */
 const DEAR_S = 4;
+/**
+ * Room for a gang is taken to come free later than estimated, the more so the longer it has waited: gangs
+ * had waited 50 to 100 s for machines that hold their image, always about to be free, beside empty ones.
+ */
+const GANG_DOUBT_S = 5;
+const GANG_DOUBT_AGE_S = 15;
 const EPSILON = 1e-6;
 /** More than the tasks of one job that a plan puts on one machine. */
 const USES = 1024;
@@ -75,8 +81,8 @@
  */
 class Queue {
   lastStartS = 0;
-  private cpus: number;
-  private gpus: number;
+  cpus: number;
+  gpus: number;
   private memoryGb: number;
   private serviceCpus = 0;
   private serviceGpus = 0;
@@ -174,10 +180,15 @@
     this.loads.splice(at, 0, { cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb, endS });
   }
 
-  /** CPUs that come free, with the time of each: what is free at the queue's end counts from there. */
-  releases(into: { atS: number; cpus: number }[]): void {
-    if (this.cpus > 0) into.push({ atS: this.lastStartS, cpus: this.cpus });
-    for (const l of this.loads) if (l.endS < Infinity) into.push({ atS: l.endS, cpus: l.cpus });
+  /** What comes free of a resource, and when: what is free at the queue's end counts from there. */
+  releases(of: Pooled, into: { atS: number; amount: number }[]): void {
+    if (this[of] > 0) into.push({ atS: this.lastStartS, amount: this[of] });
+    for (const l of this.loads) if (l.endS < Infinity && l[of] > 0) into.push({ atS: l.endS, amount: l[of] });
+  }
+
+  /** Whether services run here. */
+  get serves(): boolean {
+    return this.serviceCpus > 0;
   }
 
   /** How many tasks of a size fit beside services alone, now and with one more service. */
@@ -196,43 +207,46 @@
   }
 }
 
-/** CPUs coming free over time, as one pool: what no queue can beat. */
+/** A resource that is pooled: the scarcer of the two bounds what a job can get. */
+type Pooled = 'cpus' | 'gpus';
+
+/** A resource coming free over time, as one pool: what no queue can beat. */
 class Pool {
   private readonly atS: number[] = [0];
-  private readonly cpus: number[] = [0];
-  /** CPU seconds that the pool has given by each of these times. */
+  private readonly amount: number[] = [0];
+  /** How much of it, times seconds, the pool has given by each of these times. */
   private readonly given: number[] = [0];
 
-  constructor(queues: readonly Queue[]) {
-    const releases: { atS: number; cpus: number }[] = [];
-    for (const q of queues) q.releases(releases);
+  constructor(queues: readonly Queue[], of: Pooled) {
+    const releases: { atS: number; amount: number }[] = [];
+    for (const q of queues) q.releases(of, releases);
     releases.sort((a, b) => a.atS - b.atS);
     let last = 0;
     for (const r of releases) {
       if (r.atS > (this.atS[last] as number)) {
         const span = r.atS - (this.atS[last] as number);
-        this.given.push((this.given[last] as number) + span * (this.cpus[last] as number));
-        this.cpus.push((this.cpus[last] as number) + r.cpus);
+        this.given.push((this.given[last] as number) + span * (this.amount[last] as number));
+        this.amount.push((this.amount[last] as number) + r.amount);
         this.atS.push(r.atS);
         last += 1;
-      } else this.cpus[last] = (this.cpus[last] as number) + r.cpus;
+      } else this.amount[last] = (this.amount[last] as number) + r.amount;
     }
   }
 
-  /** When this many CPUs are free together at first, if nothing takes any. */
-  freeAt(cpus: number): number {
-    const i = firstAtLeast(this.cpus, cpus - EPSILON);
+  /** When this much is free together at first, if nothing takes any. */
+  freeAt(amount: number): number {
+    const i = firstAtLeast(this.amount, amount - EPSILON);
     return this.atS[i] ?? Infinity;
   }
 
   /** When the pool can have given this much work at the earliest. */
-  doneAt(cpuSeconds: number): number {
-    const i = firstAtLeast(this.given, cpuSeconds);
+  doneAt(work: number): number {
+    const i = firstAtLeast(this.given, work);
     const from = Math.max(0, i - 1);
-    const cpus = this.cpus[from] as number;
-    const rest = cpuSeconds - (this.given[from] as number);
+    const amount = this.amount[from] as number;
+    const rest = work - (this.given[from] as number);
     if (rest <= 0) return this.atS[from] as number;
-    return cpus <= 0 ? Infinity : (this.atS[from] as number) + rest / cpus;
+    return amount <= 0 ? Infinity : (this.atS[from] as number) + rest / amount;
   }
 }
 
@@ -318,7 +332,7 @@
   private readonly lowestBeyond = new Map<string, number>();
   private readonly kinds = new Map<string, Kind>();
   private readonly kindOf = new Map<JobView, Kind>();
-  private pool: Pool | null = null;
+  private readonly pools = new Map<Pooled, Pool>();
   private epoch = 0;
   /** Queues looked at: what a plan costs, whatever the machine it runs on. */
   private steps = 0;
@@ -418,7 +432,6 @@
 
   /** Whether anything runs that this job might be made room from. */
   private mayPreempt(job: JobView, guaranteed: boolean): boolean {
-    if (job.spec.kind === 'gang') return false;
     const order = PRIORITY_ORDER[job.spec.priority];
     if (this.lowest > order) return true;
     if (!guaranteed) return false;
@@ -556,11 +569,19 @@
   /** No sooner than this can the job complete. */
   private bound(job: JobView): number {
     if (job.spec.kind === 'service') return 0;
-    this.pool ??= new Pool(this.queues);
     const { spec } = job;
     const runS = Math.max(job.estimateS, 0.5);
-    const work = spec.cpus * job.pending.length * runS;
-    const completionS = Math.max(this.pool.freeAt(spec.cpus) + runS, this.pool.doneAt(work)) - EPSILON;
+    let completionS = 0;
+    for (const of of pooled(spec)) {
+      let pool = this.pools.get(of);
+      if (pool === undefined) {
+        pool = new Pool(this.queues, of);
+        this.pools.set(of, pool);
+      }
+      const work = spec[of] * job.pending.length * runS;
+      completionS = Math.max(completionS, pool.freeAt(spec[of]) + runS, pool.doneAt(work));
+    }
+    completionS -= EPSILON;
     return completionS * Math.max(1, job.pendingCount / job.pending.length);
   }
 
@@ -574,8 +595,8 @@
 
   /** Jobs of which nothing can start now: when they would is estimated from the pool of all machines. */
   private leave(jobs: readonly JobView[]): void {
-    const pool = new Pool(this.queues);
-    let work = 0;
+    const pools = { cpus: new Pool(this.queues, 'cpus'), gpus: new Pool(this.queues, 'gpus') };
+    const work = { cpus: 0, gpus: 0 };
     for (const job of jobs) {
       const { spec } = job;
       const kind = this.kindOf.get(job);
@@ -587,14 +608,18 @@
       }
       const guaranteed = this.guaranteed.has(job);
       const room = this.room.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      const fit = spec.cpus > 0 ? Math.floor(room.cpus / spec.cpus + EPSILON) : Infinity;
-      const within = Math.max(0, Math.min(job.pendingCount, fit));
-      room.cpus -= within * spec.cpus;
       const runS = Math.max(job.estimateS, 0.5);
-      work += within * spec.cpus * runS;
+      let within = job.pendingCount;
+      for (const of of pooled(spec))
+        if (spec[of] > 0) within = Math.min(within, Math.floor(room[of] / spec[of] + EPSILON));
+      within = Math.max(0, within);
+      let startsInS = this.queues.length === 0 ? Infinity : 0;
+      for (const of of pooled(spec)) {
+        room[of] -= within * spec[of];
+        work[of] += within * spec[of] * runS;
+        startsInS = Math.max(startsInS, pools[of].freeAt(spec[of]), pools[of].doneAt(work[of]) - runS);
+      }
       if (within > 0) {
-        const startsInS =
-          this.queues.length === 0 ? Infinity : Math.max(0, pool.freeAt(spec.cpus), pool.doneAt(work) - runS);
         this.unmet.push({ job, tasks: within, startsInS, withinLimit: true, guaranteed, zone: null });
       }
       const limited = job.pendingCount - within;
@@ -638,6 +663,12 @@
     // A service never completes: what counts for it is when it serves.
     const endS = service ? busy : busy + Math.max(job.estimateS, 0.5) * m.slowness;
     let costS = endS + (this.s.frugal && spec.spot && !m.spot ? DEAR_S : 0);
+    if (spec.kind === 'gang') {
+      // A gang waits for the slowest of its places, and estimates of what runs there are off.
+      if (startS > 0) costS += GANG_DOUBT_S + startS * (1 + job.ageS / GANG_DOUBT_AGE_S);
+      // Replicas find their images on the machines that serve already: room there is theirs.
+      if (q.serves) costS += FRAGMENT_S;
+    }
     if (service) {
       if (this.s.typicalTask !== null) costS += q.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
       if (endS > job.patienceS) costS += MISS_S;
@@ -742,7 +773,14 @@
       } else {
         // It keeps its places in the queues, as any cotask: when only starved gangs did, all that waited
         // counted on the same room, and nothing was rented for the others until they were late.
-        if (whole && fits(job.pending.length)) this.adopt(e);
+        if (whole && fits(job.pending.length)) {
+          this.adopt(e);
+          const late = (c: Choice): boolean => c.startS > 0 && c.endS - job.estimateS > job.patienceS;
+          const waits = e.choices.filter(late).map((c) => c.endS);
+          const first = e.choices[0];
+          if (waits.length > 0 && first !== undefined)
+            this.preempt(job, waits, guaranteed, spec.oneZone ? this.zoneAt(first.at) : null);
+        }
         // Only what has no room now is rented for, beside the tasks that have.
         const placed = e.choices[0];
         this.unmet.push({
@@ -839,9 +877,15 @@
   /**
    * Makes room by stopping what the rules of preemption allow, the least lost work first, and only
    * where it lets a task end sooner than by waiting: room freed elsewhere would be filled by others
-   * and freed again, over and over. Returns for how many tasks room is being made.
+   * and freed again, over and over. For a gang room is made for all that wait, or for none. Returns for
+   * how many tasks room is being made.
    */
-  private preempt(job: JobView, ends: readonly number[], guaranteed: boolean): number {
+  private preempt(
+    job: JobView,
+    ends: readonly number[],
+    guaranteed: boolean,
+    zone: string | null = null,
+  ): number {
     const spec = job.spec;
     const rank = PRIORITY_ORDER[spec.priority];
     const mayStop = (o: Occupant): boolean =>
@@ -861,6 +905,7 @@
     for (const m of this.s.machines) {
       this.steps += 1;
       if (!m.takesTasks || !allows(job, m) || job.avoid.has(m.id)) continue;
+      if (zone !== null && m.zone !== zone) continue;
       let cpus = m.type.cpus;
       let gpus = m.type.gpus;
       let memory = m.type.memoryGb;
@@ -875,7 +920,8 @@
         .sort((a, b) => a.lostS - b.lostS);
       const stopping = m.occupants.some((o) => o.stopping);
       if (stopping && cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb) {
-        next += Math.max(1, Math.floor(cpus / Math.max(spec.cpus, 0.01)));
+        const byGpus = spec.gpus > 0 ? Math.floor(gpus / spec.gpus) : Infinity;
+        next += Math.max(1, Math.min(byGpus, Math.floor(cpus / Math.max(spec.cpus, 0.01))));
         continue;
       }
       let chosen: Occupant[] = [];
@@ -899,30 +945,30 @@
       }
     }
     options.sort((a, b) => a.lostS - b.lostS);
+    const stops: Stop[] = [];
     for (const option of options) {
       const waitS = waits[next];
       if (waitS === undefined) break;
       if (option.endS + PREEMPT_GAIN_S > waitS) continue;
       if ((perZone.get(option.zone) ?? 0) >= zoneMost) continue;
       perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
-      for (const o of option.stops) this.stops.push({ job: o.job, task: o.task, inFavourOf: spec.id });
+      for (const o of option.stops) stops.push({ job: o.job, task: o.task, inFavourOf: spec.id });
       next += 1;
     }
+    if (spec.kind === 'gang' && next < waits.length) return 0;
+    this.stops.push(...stops);
     return Math.min(next, waits.length);
   }
 }
 
+/** The resources that bound when a job can be done. */
+function pooled(s: JobSpec): readonly Pooled[] {
+  return s.gpus > 0 ? ['cpus', 'gpus'] : ['cpus'];
+}
+
 /** Whether it depends on which machines come free, not only on how much of them. */
 function isBound(s: JobSpec): boolean {
-  return (
-    s.kind !== 'array' ||
-    s.gpus > 0 ||
-    !s.spot ||
-    s.zone !== null ||
-    s.types !== null ||
-    s.oneZone ||
-    s.spread
-  );
+  return s.kind !== 'array' || !s.spot || s.zone !== null || s.types !== null || s.oneZone || s.spread;
 }
 
 /**
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -336,3 +336,37 @@
     [id(1)],
   );
 });
+
+test('a gang makes room for all its tasks or for none', () => {
+  const gang = view(
+    jobSpec({
+      id: id(1),
+      kind: 'gang',
+      priority: 'high',
+      gpus: 4,
+      cpus: 2,
+      tasks: 2,
+      spot: false,
+      estimateS: 5,
+    }),
+  );
+  const clips = Array.from({ length: 4 }, (_, task) => occupant({ task, cpus: 1, gpus: 1 }));
+  const high = occupant({ job: id(901), cpus: 1, gpus: 4, priority: 'high' });
+  const busy = (n: number, occupants: Occupant[]): MachineView => machine(n, 2, { occupants });
+  const half = plan(snapshot([gang], [busy(0, clips), busy(3, [high])]));
+  assert.deepEqual(half.stops, []);
+  const others = clips.map((o) => ({ ...o, job: id(902) }));
+  assert.equal(plan(snapshot([gang], [busy(0, clips), busy(3, others)])).stops.length, 8);
+});
+
+test('a gang takes room at hand rather than wait for machines that hold its image', () => {
+  const gang = view(
+    jobSpec({ id: id(1), kind: 'gang', gpus: 4, cpus: 2, tasks: 1, imageGb: 12, spot: false, estimateS: 5 }),
+    { patienceS: 50 },
+  );
+  const held = machine(0, 2, {
+    images: new Map([['img', 12]]),
+    occupants: [occupant({ cpus: 2, gpus: 4, remainingS: 8, priority: 'high' })],
+  });
+  assert.equal(plan(snapshot([gang], [held, machine(3, 2)])).starts[0]?.machine, machine(3, 2).id);
+});
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -88,7 +88,10 @@
   }
 
   /** A gang completes together: if one task is done, all are. */
-  completed(job: JobSpec): void {
+  completed(job: JobSpec, attempt: Attempt): void {
+    const there = [...this.on.values()].filter((o) => o.job.id === job.id && o.attempt === attempt);
+    if (there.length < job.tasks && !this.isDone(job.id, 0))
+      this.breaks('gang_split', `${job.id} was done with ${there.length} of ${job.tasks} tasks`);
     this.doneTasks.set(job.id, new Set(Array.from({ length: job.tasks }, (_, task) => task)));
   }
 
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -23,6 +23,17 @@
   saved: boolean;
 }
 
+/** What the tasks of one attempt of a gang know of each other. */
+export interface SimGang {
+  started: boolean;
+  /** The first stop that any of its tasks was told of, and which were. */
+  haltAt: number | null;
+  readonly told: Set<number>;
+  readonly saved: Set<number>;
+  /** All had saved when the first of them exited. */
+  safe: boolean;
+}
+
 export type SimAnswer =
   | { readonly code: 200; readonly token: Token; readonly commands: readonly WorkerCommand[] }
   | { readonly code: 421; readonly leader: string }
@@ -37,8 +48,11 @@
   readonly random: (below: number) => number;
   job(id: JobId): JobSpec | undefined;
   runMs(job: JobSpec, task: number): number;
-  /** Gang mates that wait or run under the same attempt. */
+  readonly gangWaitMs: number;
+  readonly gangPeerMs: number;
+  /** Gang mates that wait, run or save under the same attempt on machines that do not hang. */
   mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[];
+  gang(job: JobSpec, attempt: Attempt): SimGang;
   report(worker: SimWorker, node: string, report: WorkerReport): Promise<SimAnswer | null>;
 }
 
@@ -105,6 +119,10 @@
     this.hanging = true;
   }
 
+  get hangs(): boolean {
+    return this.hanging;
+  }
+
   resume(): void {
     this.hanging = false;
     // The lease is looked at first: what it ended must not act any more.
@@ -244,6 +262,7 @@
     let cpus = job.cpus;
     for (const o of this.tasks.values()) if (o.phase !== 'exited') cpus += o.job.cpus;
     this.tasks.set(name, t);
+    if (job.kind === 'gang') this.world.gang(job, attempt);
     this.changed();
     if (cpus > this.type.cpus + 1e-6) {
       t.phase = 'exited';
@@ -271,10 +290,16 @@
     else if (t.job.kind === 'gang') {
       t.phase = 'waiting';
       this.changed();
+      const gang = this.world.gang(t.job, t.attempt);
       const mates = this.world.mates(t.job, t.attempt);
-      if (mates.length === t.job.tasks) for (const m of mates) m.worker.runTask(t.job, m.task);
-      this.world.time.after(20_000, () => {
-        if (t.phase === 'waiting') this.end(t, 'alone');
+      if (mates.length === t.job.tasks && !gang.started) {
+        gang.started = true;
+        for (const m of mates) m.worker.runTask(t.job, m.task);
+      }
+      this.world.time.after(this.world.gangWaitMs, () => {
+        this.act(() => {
+          if (t.phase === 'waiting') this.end(t, 'alone');
+        });
       });
     } else this.runTask(t.job, t.task);
   }
@@ -291,25 +316,68 @@
     if (job.kind === 'service') return;
     this.world.time.after(this.world.runMs(job, job.kind === 'gang' ? 0 : task), () => {
       this.act(() => {
-        if (t.phase !== 'running') return;
-        if (job.kind === 'gang') this.world.checker.completed(job);
+        // What was cleared with an earlier session completes nothing.
+        if (t.phase !== 'running' || this.tasks.get(`${job.id}/${task}`) !== t) return;
+        if (job.kind === 'gang' && !this.world.checker.isDone(job.id, task)) {
+          if (this.world.mates(job, t.attempt).length < job.tasks) return this.end(t, 'peers');
+          this.world.checker.completed(job, t.attempt);
+        }
         this.end(t, 'done');
       });
     });
     if (job.kind === 'gang') this.watchMates(t);
   }
 
+  /** A task of a running gang that lost another, or was not told of a stop in time, exits. */
   private watchMates(t: SimTask): void {
-    this.world.time.after(2000, () => {
+    const { haltAt } = this.world.gang(t.job, t.attempt);
+    const untilStop = haltAt === null ? Infinity : haltAt + this.world.gangPeerMs - this.now;
+    this.world.time.after(Math.max(1, Math.min(this.world.gangPeerMs / 2, untilStop)), () => {
       this.act(() => {
         if (t.phase !== 'running') return;
+        const gang = this.world.gang(t.job, t.attempt);
+        const late = gang.haltAt !== null && this.now >= gang.haltAt + this.world.gangPeerMs;
         if (this.world.checker.isDone(t.job.id, t.task)) this.end(t, 'done');
-        else if (this.world.mates(t.job, t.attempt).length === t.job.tasks) this.watchMates(t);
+        else if (!late && this.world.mates(t.job, t.attempt).length === t.job.tasks) this.watchMates(t);
         else this.end(t, 'peers');
       });
     });
   }
 
+  /** All have saved: their progress is safe, and all exit. */
+  finishSave(job: JobSpec, task: number): void {
+    const t = this.tasks.get(`${job.id}/${task}`);
+    if (t?.phase === 'saving') this.end(t, 'stopped', true);
+  }
+
+  /** An orderly stop holds only if every task of the gang hears of it within `gang_peer_s` of the first. */
+  private saveGang(t: SimTask): void {
+    const gang = this.world.gang(t.job, t.attempt);
+    gang.haltAt ??= this.now;
+    gang.told.add(t.task);
+    this.world.time.after(t.job.saveS * 1000, () => {
+      this.act(() => {
+        if (t.phase !== 'saving') return;
+        gang.saved.add(t.task);
+        const mates = this.world.mates(t.job, t.attempt);
+        if (gang.saved.size < t.job.tasks || mates.length < t.job.tasks) return;
+        gang.safe = true;
+        for (const m of mates) m.worker.finishSave(t.job, m.task);
+      });
+    });
+    this.world.time.after(Math.max(0, gang.haltAt + this.world.gangPeerMs - this.now), () => {
+      this.act(() => {
+        if (t.phase === 'saving' && gang.told.size < t.job.tasks) this.end(t, 'stopped');
+      });
+    });
+    // A task that was told but is lost before it has saved leaves the others with nothing to wait for.
+    this.world.time.after(t.job.saveS * 1000 + 2 * this.world.gangPeerMs, () => {
+      this.act(() => {
+        if (t.phase === 'saving') this.end(t, 'stopped');
+      });
+    });
+  }
+
   private stop(t: SimTask, graceS: number): void {
     if (t.phase === 'exited') return;
     const saves = t.phase === 'running' && t.job.checkpointS > 0 && graceS >= t.job.saveS;
@@ -320,6 +388,10 @@
     }
     t.phase = 'saving';
     this.changed();
+    if (t.job.kind === 'gang') {
+      this.saveGang(t);
+      return;
+    }
     this.world.time.after(t.job.saveS * 1000, () => {
       this.act(() => {
         if (t.phase === 'saving') this.end(t, 'stopped', true);
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -25,13 +25,15 @@
 import { SimNetwork } from './network.js';
 import type { StateLimits } from './state.js';
 import { SimState, SimStore, STATE_HOST } from './state.js';
-import type { SimAnswer } from './worker.js';
+import type { SimAnswer, SimGang } from './worker.js';
 import { SimWorker } from './worker.js';
 
 export const CLOUD_HOST = 'cloud';
 const USER_HOST = 'user';
 const RESTART_MS = 8000;
 const LIST_LAG_MS = 4000;
+const GANG_WAIT_S = 20;
+const GANG_PEER_S = 4;
 
 export interface WorldOptions {
   readonly seed: number;
@@ -43,6 +45,7 @@
   readonly leaseS: number;
   readonly cancelS: number;
   readonly log?: Log;
+  readonly gangWaitS?: number;
   /** Requests and changes a second that the state service takes. */
   readonly stateLimits?: StateLimits;
 }
@@ -101,7 +104,13 @@
       stateAddress: STATE_HOST,
       teams: this.o.teams,
       objectives: [],
-      workers: { reportS: 3, leaseS: this.o.leaseS, gangWaitS: 20, gangPeerS: 4, cancelS: this.o.cancelS },
+      workers: {
+        reportS: 3,
+        leaseS: this.o.leaseS,
+        gangWaitS: this.o.gangWaitS ?? GANG_WAIT_S,
+        gangPeerS: GANG_PEER_S,
+        cancelS: this.o.cancelS,
+      },
       state: this.o.stateLimits ?? AMPLE,
       cloud: { rps: 10, listLagS: LIST_LAG_MS / 1000 },
       maxSockets: 100,
@@ -257,17 +266,47 @@
       random: (below) => this.random(below),
       job: (id) => this.checker.submitted.get(id),
       runMs: (job, task) => job.estimateS * (600 + ((task * 7919) % 800)),
+      gangWaitMs: (this.o.gangWaitS ?? GANG_WAIT_S) * 1000,
+      gangPeerMs: GANG_PEER_S * 1000,
       mates: (job, attempt) => this.mates(job, attempt),
+      gang: (job, attempt) => this.gangOf(job, attempt),
       report: (worker, node, report) => this.report(worker, node, report),
     };
   }
 
+  private readonly gangs = new Map<string, SimGang>();
+
+  /** How many attempts of each gang reached a machine. */
+  get attempts(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const name of this.gangs.keys()) {
+      const job = name.slice(0, name.indexOf('#'));
+      counts.set(job, (counts.get(job) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Attempts of gangs whose progress was saved by an orderly stop. */
+  get savedGangs(): string[] {
+    return [...this.gangs].filter(([, g]) => g.safe).map(([name]) => name);
+  }
+
+  private gangOf(job: JobSpec, attempt: Attempt): SimGang {
+    const name = `${job.id}#${attempt}`;
+    let gang = this.gangs.get(name);
+    if (gang === undefined) {
+      gang = { started: false, haltAt: null, told: new Set(), saved: new Set(), safe: false };
+      this.gangs.set(name, gang);
+    }
+    return gang;
+  }
+
   private mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[] {
     const found: { worker: SimWorker; task: number }[] = [];
     for (const worker of this.workers.values())
-      for (let task = 0; task < job.tasks && worker.alive; task += 1) {
+      for (let task = 0; task < job.tasks && worker.alive && !worker.hangs; task += 1) {
         const t = worker.attemptOf(job.id, task);
-        if (t?.attempt === attempt && (t.phase === 'waiting' || t.phase === 'running'))
+        if (t?.attempt === attempt && t.phase !== 'fetching' && t.phase !== 'exited')
           found.push({ worker, task });
       }
     return found;
