--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -322,6 +322,22 @@
     for (const id of machines) this.push(id);
   }
 
+  /**
+   * Whether every task of the gang can be told now: a stop that some hear too late saves nothing, and costs
+   * all of them what they did since their last checkpoint.
+   */
+  private reachesAll(job: Job, now: Ms): boolean {
+    for (const p of job.placements.values()) {
+      const m = this.machines.get(p.machine);
+      const heardAt = m?.heardAt ?? null;
+      if (m === undefined || heardAt === null || (m.state !== 'ready' && m.state !== 'draining'))
+        return false;
+      if (p.state !== 'running' || p.stop !== null) return false;
+      if (now - heardAt > longestReportMs(this.c.settings) + 1000) return false;
+    }
+    return true;
+  }
+
   private pushGang(job: Job): void {
     for (const p of job.placements.values()) if (p.state === 'starting') this.push(p.machine);
   }
@@ -437,7 +453,7 @@
       const graceS = job.spec.saveS + SAVE_MARGIN_S;
       if (job.spec.kind === 'service') job.askStop(task, graceS, 'drained', now);
       else if (job.spec.kind === 'gang' && job.spec.checkpointS > 0 && noticeS > graceS)
-        this.stopGang(job, graceS, 'drained');
+        if (job.gang?.state !== 'running' || this.reachesAll(job, now)) this.stopGang(job, graceS, 'drained');
     }
     this.push(m.id);
     this.replan.raise();
--- a/packages/model/test/model.test.ts
+++ b/packages/model/test/model.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import type { Ms } from '@spurbridge/net';
-import type { JobId, MachineId, Session, Version } from '@spurbridge/wire';
+import type { Attempt, JobId, MachineId, Session, Version } from '@spurbridge/wire';
 import { ABSENT } from '@spurbridge/wire';
 import { TEAMS, TYPES, jobSpec } from '@spurbridge/testkit';
 import {
@@ -68,6 +68,52 @@
   );
 });
 
+// A gang's state decides whether a lost task is replaced under the same attempt or the rest is stopped.
+test('whatever its tasks report, a gang goes only through its states and never back once started', () => {
+  const op = fc.constantFrom('place', 'fetching', 'waiting', 'running', 'saving', 'done', 'lost', 'stop');
+  const moves = fc.array(fc.record({ op, task: fc.nat(2) }), { maxLength: 60 });
+  fc.assert(
+    fc.property(moves, (list) => {
+      const job = new Job(jobSpec({ id, kind: 'gang', tasks: 3, checkpointS: 5 }), 8, ABSENT, at);
+      const { gang } = job;
+      assert.ok(gang !== null);
+      let started = false;
+      for (const { op: what, task } of list) {
+        const p = job.placements.get(task);
+        const ready = job.placements.size === 0 || job.awaitsReplacement;
+        if (what === 'place') {
+          if (p !== undefined || job.isDone(task) || !ready) continue;
+          const attempt = job.gangAttempt();
+          job.intend(task, machine(task), 1 as Session, at, attempt);
+          job.durable(task, attempt, at);
+        } else if (p === undefined) continue;
+        else if (what === 'done' || what === 'lost') job.gone(task, what === 'done', at);
+        else if (what === 'stop') job.askStop(task, task, 'drained', at);
+        else job.reported(task, what, at);
+        if (job.placements.size === 0) started = false;
+        else started ||= what === 'running' || what === 'saving';
+        if (started) {
+          assert.ok(['running', 'saving', 'breaking', 'done'].includes(gang.state), gang.state);
+          assert.ok(!job.awaitsReplacement);
+        }
+        assert.equal(new Set([...job.placements.values()].map((x) => x.attempt)).size <= 1, true);
+        assert.equal(gang.state === 'gone', job.placements.size === 0 && job.doneCount < 3);
+        assert.equal(gang.state === 'done', job.doneCount === 3);
+      }
+    }),
+    { seed: 13, numRuns: 300 },
+  );
+});
+
+test('a gang restored from its record alone is not taken for one that has not started', () => {
+  const job = new Job(jobSpec({ id, kind: 'gang', tasks: 2 }), 8, ABSENT, at);
+  job.restorePlacement(0, machine(0), 1 as Session, 4 as Attempt, at);
+  assert.equal(job.gangAttempt(), 4);
+  assert.ok(!job.awaitsReplacement);
+  job.reported(0, 'waiting', at);
+  assert.ok(job.awaitsReplacement);
+});
+
 test('a job rebuilt from its records has the same tasks done and placed', () => {
   fc.assert(
     fc.property(
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -295,7 +295,12 @@
 /** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
 function pressing(u: Unmet, type: MachineType): boolean {
   const { spec, ageS, estimateS } = u.job;
-  if (spec.deadlineS === null) return ageS > LATE_START_S;
+  if (spec.deadlineS === null) {
+    // In a burst, waiting until a job is late rents machines that come up when all are late.
+    const queuedS = ageS + u.startsInS * IN_TURN + estimateS * IN_TURN;
+    const rentedS = ageS + type.bootS + spec.imageGb / type.fetchGbPerS + estimateS;
+    return ageS > LATE_START_S || u.job.milestonesS.some((m) => queuedS > m && rentedS <= m);
+  }
   return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
 
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -217,3 +217,15 @@
   assert.equal(drained(3), null);
   assert.equal(drained(2), from.id);
 });
+
+test('without spot capacity, a burst is met with ordinary machines while they let it be in time', () => {
+  const rented = (ageS: number, startsInS: number): number => {
+    const u = unmet({ tasks: 4, estimateS: 20 }, { startsInS });
+    const job = { ...u.job, ageS, milestonesS: [60] };
+    const noSpot = (_type: string, _zone: string, spot: boolean): boolean => !spot;
+    const plan = planFleet(input({ unmet: [{ ...u, job }], available: noSpot }));
+    return plan.rent.reduce((n, r) => n + r.count, 0);
+  };
+  assert.ok(rented(10, 60) > 0);
+  assert.equal(rented(10, 5), 0);
+});
