--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -426,6 +426,12 @@
 
 /** Spot machines are cheap to keep: they are given back this many times later. */
 const SPOT_KEEP = 2;
+/** Nor sooner than a share of what it takes to have one again: a wave of arrays comes back before that. */
+const SPOT_KEEP_BOOTS = 1.5;
+
+function keptS(m: FleetMachine, policy: FleetPolicy): number {
+  return m.spot ? Math.max(policy.idleS * SPOT_KEEP, m.type.bootS * SPOT_KEEP_BOOTS) : policy.idleS;
+}
 
 function surplus(input: FleetInput): MachineId[] {
   const { policy } = input;
@@ -443,12 +449,7 @@
   const release: MachineId[] = [];
   const idle = input.machines
     .filter(
-      (m) =>
-        m.returnable &&
-        m.usedCpus === 0 &&
-        m.takesTasks &&
-        m.idleS >= policy.idleS * (m.spot ? SPOT_KEEP : 1) &&
-        !wanted(m),
+      (m) => m.returnable && m.usedCpus === 0 && m.takesTasks && m.idleS >= keptS(m, policy) && !wanted(m),
     )
     .sort((a, b) => price(b) - price(a));
   for (const m of idle) {
