--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -58,6 +58,8 @@
 const GANG_DOUBT_S = 5;
 const GANG_DOUBT_AGE_S = 15;
 const EPSILON = 1e-6;
+/** Beyond this, when something starts is as good as never. */
+const HORIZON_S = 4096;
 /** More than the tasks of one job that a plan puts on one machine. */
 const USES = 1024;
 
@@ -239,6 +241,38 @@
     return this.atS[i] ?? Infinity;
   }
 
+  /**
+   * When this much can have been started, each part of it held for `runS`: what comes free may be taken
+   * again after that. The bound by work alone let tasks start before anything was free for them, and a
+   * burst was rented for a minute late.
+   */
+  startedAt(amount: number, runS: number): number {
+    const started = (atS: number): number => {
+      let sum = 0;
+      for (let t = atS; t >= 0 && sum < amount; t -= Math.max(runS, 0.5)) sum += this.amountAt(t);
+      return sum;
+    };
+    const wanted = amount - EPSILON;
+    if (started(0) >= wanted) return 0;
+    let late = 1;
+    while (started(late) < wanted) {
+      late *= 2;
+      if (late > HORIZON_S) return Infinity;
+    }
+    let early = late / 2;
+    for (let i = 0; i < 8; i += 1) {
+      const middle = (early + late) / 2;
+      if (started(middle) < wanted) early = middle;
+      else late = middle;
+    }
+    return late;
+  }
+
+  private amountAt(t: number): number {
+    const i = firstAtLeast(this.atS, t + EPSILON);
+    return i === 0 ? 0 : (this.amount[i - 1] as number);
+  }
+
   /** When the pool can have given this much work at the earliest. */
   doneAt(work: number): number {
     const i = firstAtLeast(this.given, work);
@@ -596,6 +630,7 @@
   /** Jobs of which nothing can start now: when they would is estimated from the pool of all machines. */
   private leave(jobs: readonly JobView[]): void {
     const pools = { cpus: new Pool(this.queues, 'cpus'), gpus: new Pool(this.queues, 'gpus') };
+    const taken = { cpus: 0, gpus: 0 };
     const work = { cpus: 0, gpus: 0 };
     for (const job of jobs) {
       const { spec } = job;
@@ -616,8 +651,11 @@
       let startsInS = this.queues.length === 0 ? Infinity : 0;
       for (const of of pooled(spec)) {
         room[of] -= within * spec[of];
+        taken[of] += within * spec[of];
         work[of] += within * spec[of] * runS;
-        startsInS = Math.max(startsInS, pools[of].freeAt(spec[of]), pools[of].doneAt(work[of]) - runS);
+        if (taken[of] <= 0) continue;
+        const meanS = work[of] / taken[of];
+        startsInS = Math.max(startsInS, pools[of].freeAt(spec[of]), pools[of].startedAt(taken[of], meanS));
       }
       if (within > 0) {
         this.unmet.push({ job, tasks: within, startsInS, withinLimit: true, guaranteed, zone: null });
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -370,3 +370,15 @@
   });
   assert.equal(plan(snapshot([gang], [held, machine(3, 2)])).starts[0]?.machine, machine(3, 2).id);
 });
+
+// A burst's tasks were taken to start before anything was free for them: machines came a minute late.
+test('tasks that wait are known to start no sooner than room for all of them comes free', () => {
+  const busy = Array.from({ length: 10 }, (_, n) =>
+    machine(n, 2, { occupants: [occupant({ cpus: 8, gpus: 4, remainingS: (n + 1) * 5, priority: 'high' })] }),
+  );
+  const waiting = view(jobSpec({ id: id(1), cpus: 8, gpus: 4, tasks: 6, estimateS: 50, team: 'red' }));
+  const teams = [{ name: 'red', cpus: 1e6, cpusMax: 1e6, gpus: 1e6, gpusMax: 1e6 }];
+  const { unmet } = plan({ ...snapshot([waiting], busy), teams });
+  assert.equal(unmet.length, 1);
+  assert.ok(Math.abs((unmet[0]?.startsInS ?? 0) - 30) < 1, `${unmet[0]?.startsInS}`);
+});
