--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -259,12 +259,18 @@
     if (old?.attempt === attempt || job === undefined) return;
     if (old !== undefined && old.phase !== 'exited') return;
     const t: SimTask = { job, task, attempt, phase: 'fetching', cause: null, saved: false };
-    let cpus = job.cpus;
-    for (const o of this.tasks.values()) if (o.phase !== 'exited') cpus += o.job.cpus;
+    let { cpus, gpus, memoryGb } = job;
+    for (const o of this.tasks.values())
+      if (o.phase !== 'exited') {
+        cpus += o.job.cpus;
+        gpus += o.job.gpus;
+        memoryGb += o.job.memoryGb;
+      }
     this.tasks.set(name, t);
     if (job.kind === 'gang') this.world.gang(job, attempt);
     this.changed();
-    if (cpus > this.type.cpus + 1e-6) {
+    const { type } = this;
+    if (cpus > type.cpus + 1e-6 || gpus > type.gpus + 1e-6 || memoryGb > type.memoryGb + 1e-6) {
       t.phase = 'exited';
       t.cause = 'no_room';
       return;
--- a/packages/testkit/test/days.test.ts
+++ b/packages/testkit/test/days.test.ts
@@ -33,7 +33,7 @@
     const id = `wk-${String(i).padStart(6, '0')}` as JobId;
     const kind = (['array', 'array', 'array', 'service', 'gang'] as const)[w.random(5)] ?? 'array';
     const at = w.random(70_000);
-    const spec = jobSpec({
+    const drawn = jobSpec({
       id,
       kind,
       team: w.random(3) === 0 ? 'blue' : 'red',
@@ -49,6 +49,7 @@
       checkpointS: w.random(3) === 0 ? 2 : 0,
       saveS: 1,
     });
+    const spec = { ...drawn, gpus: kind === 'gang' && drawn.team === 'red' ? i % 3 : 0 };
     const cancelAt = kind === 'service' || w.random(4) === 0 ? at + 5000 + w.random(90_000) : null;
     return { spec, at, cancelAt };
   });
