Spread replicas over all machines again; a gang's whole goes where its zone has no more

Cause of late and lost replicas: kept off the room of gangs, replicas stood packed on few machines, so images were on few and a lost machine took many. A gang of which one zone holds a part, and cannot give the rest, is rented for as a whole in another (a test).

--- a/packages/controller/src/estimates.ts
+++ b/packages/controller/src/estimates.ts
@@ -16,18 +16,8 @@
 
   private readonly sizes: { cpus: number; gpus: number; memoryGb: number }[] = [];
 
-  private ordinary = false;
-
-  /**
-   * Called for every job that is not a service: what machines should keep room for. Once there are jobs
-   * that need ordinary machines, as services do, only those count: others have machines of their own.
-   */
+  /** Called for every job that is not a service: what machines should keep room for. */
   sized(spec: JobSpec): void {
-    if (!spec.spot && !this.ordinary) {
-      this.ordinary = true;
-      this.sizes.length = 0;
-    }
-    if (spec.spot && this.ordinary) return;
     this.sizes.push({ cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb });
     if (this.sizes.length > SIZES) this.sizes.shift();
   }
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -172,10 +172,15 @@
 ): void {
   const spec = u.job.spec;
   let zone = spec.zone ?? (spec.oneZone ? (u.job.zones[0] ?? u.zone ?? roomiest(u, coming)) : null);
+  let left = u.tasks;
+  if (spec.zone === null && zone !== null && u.job.zones.length === 0 && !mayRent(input, spec, zone)) {
+    // The zone where part of it has room has no more to give: the whole of it goes to another one.
+    zone = null;
+    left = Math.max(left, u.job.pending.length);
+  }
   const inZone = new Map<string, number>();
   for (const z of u.job.zones) inZone.set(z, (inZone.get(z) ?? 0) + 1);
   const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-  let left = u.tasks;
   const allowed = (type: MachineType, z: string, spot: boolean): boolean =>
     fitsType(spec, type) &&
     (zone === null || z === zone) &&
@@ -249,6 +254,15 @@
   }
 }
 
+function mayRent(input: FleetInput, spec: JobSpec, zone: string): boolean {
+  return input.types.some(
+    (t) =>
+      fitsType(spec, t) &&
+      (t.zones.length === 0 || t.zones.includes(zone)) &&
+      (input.available(t.name, zone, false) || (spec.spot && input.available(t.name, zone, true))),
+  );
+}
+
 /**
  * The zone where most tasks of a job bound to one fit what is under way: counted over all zones, a gang
  * was met by halves and nothing was rented for it.
@@ -287,7 +301,8 @@
 }
 
 function shareOf(need: { cpus: number; gpus: number; memoryGb: number }, t: MachineType): number {
-  return Math.max(need.cpus / t.cpus, need.gpus > 0 ? need.gpus / t.gpus : 0, need.memoryGb / t.memoryGb);
+  const share = (wanted: number, of: number): number => (wanted > 0 ? wanted / of : 0);
+  return Math.max(share(need.cpus, t.cpus), share(need.gpus, t.gpus), share(need.memoryGb, t.memoryGb));
 }
 
 const LATE_START_S = 30;
@@ -426,12 +441,6 @@
 
 /** Spot machines are cheap to keep: they are given back this many times later. */
 const SPOT_KEEP = 2;
-/** Nor sooner than a share of what it takes to have one again: a wave of arrays comes back before that. */
-const SPOT_KEEP_BOOTS = 1.5;
-
-function keptS(m: FleetMachine, policy: FleetPolicy): number {
-  return m.spot ? Math.max(policy.idleS * SPOT_KEEP, m.type.bootS * SPOT_KEEP_BOOTS) : policy.idleS;
-}
 
 function surplus(input: FleetInput): MachineId[] {
   const { policy } = input;
@@ -449,7 +458,12 @@
   const release: MachineId[] = [];
   const idle = input.machines
     .filter(
-      (m) => m.returnable && m.usedCpus === 0 && m.takesTasks && m.idleS >= keptS(m, policy) && !wanted(m),
+      (m) =>
+        m.returnable &&
+        m.usedCpus === 0 &&
+        m.takesTasks &&
+        m.idleS >= policy.idleS * (m.spot ? SPOT_KEEP : 1) &&
+        !wanted(m),
     )
     .sort((a, b) => price(b) - price(a));
   for (const m of idle) {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -188,11 +188,6 @@
     for (const l of this.loads) if (l.endS < Infinity && l[of] > 0) into.push({ atS: l.endS, amount: l[of] });
   }
 
-  /** Whether services run here. */
-  get serves(): boolean {
-    return this.serviceCpus > 0;
-  }
-
   /** How many tasks of a size fit beside services alone, now and with one more service. */
   slotsLost(service: Need, task: Need): number {
     const cpus = this.machine.type.cpus - this.serviceCpus;
@@ -404,7 +399,7 @@
         gpus += o.gpus;
       }
       // How full a machine is goes by what runs out first.
-      const used = Math.max(cpus / m.type.cpus, m.type.gpus > 0 ? gpus / m.type.gpus : 0);
+      const used = Math.max(cpus / Math.max(m.type.cpus, 1), m.type.gpus > 0 ? gpus / m.type.gpus : 0);
       rank[i] = price * 10 - used / 10;
       let zone = this.zones.indexOf(m.zone);
       if (zone < 0) zone = this.zones.push(m.zone) - 1;
@@ -641,7 +636,6 @@
         this.settle(this.evaluate(job));
         continue;
       }
-      const guaranteed = this.guaranteed.has(job);
       const room = this.room.get(spec.team) ?? { cpus: 0, gpus: 0 };
       const runS = Math.max(job.estimateS, 0.5);
       let within = job.pendingCount;
@@ -658,18 +652,10 @@
         startsInS = Math.max(startsInS, pools[of].freeAt(spec[of]), pools[of].startedAt(taken[of], meanS));
       }
       if (within > 0) {
-        this.unmet.push({ job, tasks: within, startsInS, withinLimit: true, guaranteed, zone: null });
+        this.waits(job, within, startsInS, true);
       }
       const limited = job.pendingCount - within;
-      if (limited > 0)
-        this.unmet.push({
-          job,
-          tasks: limited,
-          startsInS: Infinity,
-          withinLimit: false,
-          guaranteed,
-          zone: null,
-        });
+      if (limited > 0) this.waits(job, limited, Infinity, false);
     }
   }
 
@@ -704,8 +690,6 @@
     if (spec.kind === 'gang') {
       // A gang waits for the slowest of its places, and estimates of what runs there are off.
       if (startS > 0) costS += GANG_DOUBT_S + startS * (1 + job.ageS / GANG_DOUBT_AGE_S);
-      // Replicas find their images on the machines that serve already: room there is theirs.
-      if (q.serves) costS += FRAGMENT_S;
     }
     if (service) {
       if (this.s.typicalTask !== null) costS += q.slotsLost(spec, this.s.typicalTask) * FRAGMENT_S;
@@ -811,24 +795,22 @@
       } else {
         // It keeps its places in the queues, as any cotask: when only starved gangs did, all that waited
         // counted on the same room, and nothing was rented for the others until they were late.
+        const first = e.choices[0];
+        const zone = spec.oneZone && first !== undefined ? this.zoneAt(first.at) : null;
         if (whole && fits(job.pending.length)) {
           this.adopt(e);
           const late = (c: Choice): boolean => c.startS > 0 && c.endS - job.estimateS > job.patienceS;
           const waits = e.choices.filter(late).map((c) => c.endS);
-          const first = e.choices[0];
-          if (waits.length > 0 && first !== undefined)
-            this.preempt(job, waits, guaranteed, spec.oneZone ? this.zoneAt(first.at) : null);
+          if (waits.length > 0) this.preempt(job, waits, guaranteed, zone);
         }
         // Only what has no room now is rented for, beside the tasks that have.
-        const placed = e.choices[0];
-        this.unmet.push({
+        this.waits(
           job,
-          tasks: e.unplaced + e.choices.filter((c) => c.startS > 0).length,
-          startsInS: e.unplaced > 0 ? Infinity : Math.max(...e.choices.map((c) => c.startS)),
-          withinLimit: fits(job.pending.length),
-          guaranteed,
-          zone: spec.oneZone && placed !== undefined ? this.zoneAt(placed.at) : null,
-        });
+          e.unplaced + e.choices.filter((c) => c.startS > 0).length,
+          e.unplaced > 0 ? Infinity : Math.max(...e.choices.map((c) => c.startS)),
+          fits(job.pending.length),
+          zone,
+        );
       }
       return;
     }
@@ -870,23 +852,25 @@
     else this.adoptStarted(e, limited);
     const more = Math.max(0, e.unplaced + (limited === 0 ? job.pendingCount - job.pending.length : 0));
     if (e.unplaced > 0) startsInS = Infinity;
-    if (late + more > 0)
-      this.unmet.push({ job, tasks: late + more, startsInS, withinLimit: true, guaranteed, zone: null });
-    if (limited > 0)
-      this.unmet.push({
-        job,
-        tasks: limited,
-        startsInS: Infinity,
-        withinLimit: false,
-        guaranteed,
-        zone: null,
-      });
+    if (late + more > 0) this.waits(job, late + more, startsInS, true);
+    if (limited > 0) this.waits(job, limited, Infinity, false);
     if (limited > 0) return;
     const waits = delayed.filter((c) => c.startS > job.patienceS).map((c) => c.endS);
     for (let i = 0; i < e.unplaced; i += 1) waits.push(Infinity);
     if (waits.length > 0) this.preempt(job, waits, guaranteed);
   }
 
+  private waits(
+    job: JobView,
+    tasks: number,
+    startsInS: number,
+    withinLimit: boolean,
+    zone: string | null = null,
+  ): void {
+    const guaranteed = this.guaranteed.has(job);
+    if (tasks > 0) this.unmet.push({ job, tasks, startsInS, withinLimit, guaranteed, zone });
+  }
+
   private zoneAt(at: number): string {
     return this.zones[this.zoneOf[at] as number] as string;
   }
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -229,3 +229,17 @@
   assert.ok(rented(10, 60) > 0);
   assert.equal(rented(10, 5), 0);
 });
+
+test('a gang whose zone has no more to give is rented for as a whole in another', () => {
+  const gang = unmet(
+    { kind: 'gang', spot: false, oneZone: true, cpus: 4, memoryGb: 2, tasks: 3 },
+    { tasks: 1, zone: 'a' },
+  );
+  const whole = { ...gang, job: { ...gang.job, pending: [0, 1, 2] } };
+  const rented = (available: FleetInput['available']): Set<string> =>
+    new Set(planFleet(input({ unmet: [whole], available })).rent.map((r) => r.zone));
+  assert.deepEqual([...rented(() => true)], ['a']);
+  const elsewhere = rented((_type, zone) => zone !== 'a');
+  assert.equal(elsewhere.size, 1);
+  assert.ok(!elsewhere.has('a'));
+});
