--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -856,8 +856,7 @@
     if (limited > 0) this.waits(job, limited, Infinity, false);
     if (limited > 0) return;
     const waits = delayed.filter((c) => c.startS > job.patienceS).map((c) => c.endS);
-    // What the limit keeps back has nothing stopped for it, either.
-    for (let i = 0; i < e.unplaced && fits(i + 1); i += 1) waits.push(Infinity);
+    for (let i = 0; i < e.unplaced; i += 1) waits.push(Infinity);
     if (waits.length > 0) this.preempt(job, waits, guaranteed);
   }
 
