Split the leader into rooms round the cluster's state, which knows none of them

Need: leader, fleet, recorder and view imported each other in a circle round one object that knew all, so every new concern became a branch in it. A further concern is a `Room`, handed in by the program that was started. No behaviour is meant to change.

--- /dev/null
+++ b/packages/controller/src/commands.ts
@@ -0,0 +1,111 @@
+import type { Machine } from '@spurbridge/model';
+import type { Attempt, JobId, MachineId, WorkerCommand, WorkerReport } from '@spurbridge/wire';
+import { formatTaskName } from '@spurbridge/wire';
+import type { Cluster } from './cluster.js';
+import { isKeptBack } from './gangs.js';
+import type { Tenure } from './tenure.js';
+
+const PUSH_ROUNDS = 5;
+
+/** Tells machines what to start, stop and forget: in answers to their reports, and directly. */
+export class Commands {
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+    /** Takes in the report that a machine answers with. */
+    private readonly onReport: (report: WorkerReport) => void,
+  ) {
+    cluster.on('due', (id) => {
+      this.push(id);
+    });
+  }
+
+  /** Orders for the answer to a report of this machine. */
+  ordersFor(r: WorkerReport): WorkerCommand[] {
+    const m = this.cluster.machines.get(r.machine);
+    if (m === undefined || m.session !== r.session || !this.tenure.c.leadership.holdsSurely()) return [];
+    return [...this.commandsFor(m, true), ...this.cleanUp(m, r)];
+  }
+
+  /** Starts and stops due on a machine. In a report's answer everything not yet seen is repeated. */
+  private commandsFor(m: Machine, repeat: boolean): WorkerCommand[] {
+    const commands: WorkerCommand[] = [];
+    for (const { job, task } of this.cluster.heldOn(m.id)) {
+      const p = job.placements.get(task);
+      if (p === undefined || p.machine !== m.id || p.session !== m.session) continue;
+      const id = { job: job.spec.id, task, attempt: p.attempt };
+      if (p.stop !== null) {
+        // A second stop would end a task that is saving; repeat only what has not taken effect.
+        const saving = p.state === 'saving' && p.stop.reason !== 'cancelled';
+        if (!saving && p.state !== 'intended') commands.push({ op: 'stop', ...id, graceS: p.stop.graceS });
+      } else if (p.state === 'starting' && job.state === 'active') {
+        if (isKeptBack(this.cluster, this.tenure.c.settings, job, p)) continue;
+        if (repeat || !m.unanswered.has(startName(job.spec.id, task, p.attempt)))
+          commands.push({ op: 'start', ...id });
+      }
+    }
+    return commands;
+  }
+
+  /** Exited tasks whose end is durable are forgotten; tasks that no record places are stopped. */
+  private cleanUp(m: Machine, r: WorkerReport): WorkerCommand[] {
+    const commands: WorkerCommand[] = [];
+    for (const t of r.tasks) {
+      const job = this.cluster.jobs.get(t.job);
+      const p = job?.placements.get(t.task);
+      if (p !== undefined && p.machine === m.id && p.session === m.session && p.attempt === t.attempt)
+        continue;
+      const id = { job: t.job, task: t.task, attempt: t.attempt };
+      if (t.phase !== 'exited') {
+        commands.push({ op: 'stop', ...id, graceS: 0 });
+        continue;
+      }
+      // After a forget the worker would execute a late start of the attempt again: none may be in flight.
+      if (m.unanswered.has(startName(t.job, t.task, t.attempt))) continue;
+      if (job === undefined || t.task >= job.spec.tasks || job.state !== 'active' || job.isDurable(t.task))
+        commands.push({ op: 'forget', ...id });
+    }
+    return commands;
+  }
+
+  /** Sends what is due straight to the machine, one call at a time. */
+  private push(id: MachineId): void {
+    const m = this.cluster.machines.get(id);
+    if (m === undefined || m.sending || m.address === '' || m.session === null) return;
+    if (m.state !== 'ready' && m.state !== 'draining') return;
+    m.sending = true;
+    this.pushNow(m)
+      .catch((e: unknown) => {
+        this.tenure.c.log.error({ machine: m.id, error: String(e) }, 'direct commands failed');
+      })
+      .finally(() => {
+        m.sending = false;
+      });
+  }
+
+  private async pushNow(m: Machine): Promise<void> {
+    const { leadership, workers } = this.tenure.c;
+    for (let round = 0; round < PUSH_ROUNDS && this.tenure.active; round += 1) {
+      const session = m.session;
+      if (session === null || !leadership.holdsSurely()) return;
+      const commands = this.commandsFor(m, false);
+      if (commands.length === 0) return;
+      const starts = commands.filter((x) => x.op === 'start').map((x) => startName(x.job, x.task, x.attempt));
+      for (const s of starts) m.unanswered.add(s);
+      const outcome = await workers.commands(m.address, leadership.token, session, commands);
+      if (!this.tenure.active) return;
+      if (outcome.outcome === 'unknown') return;
+      if (m.session === session) for (const s of starts) m.unanswered.delete(s);
+      if (outcome.outcome === 'unsent') return;
+      leadership.observe(outcome.report.token, null);
+      if (!this.tenure.active) return;
+      this.onReport(outcome.report);
+      if (outcome.outcome === 'rejected') return;
+    }
+  }
+}
+
+/** How an unanswered start is remembered on its machine. */
+export function startName(job: JobId, task: number, attempt: Attempt): string {
+  return `${formatTaskName(job, task)}#${attempt}`;
+}
--- /dev/null
+++ b/packages/controller/src/fleet-view.ts
@@ -0,0 +1,128 @@
+import type { Job } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import type { Beside, FleetMachine, Replica, Unmet } from '@spurbridge/planner';
+import { effectiveCpus } from '@spurbridge/planner';
+import type { MachineType } from '@spurbridge/wire';
+import type { Cluster } from './cluster.js';
+
+const PEAK_WINDOW_MS = 40_000;
+const HEADROOM = 1.1;
+/** Room kept for replicas of a lost machine, at most this share of what services use. */
+const RESERVE_SHARE = 0.1;
+/** A replica is not moved again before this: a start that is stopped soon after does not count. */
+const SETTLED_MS = 45_000;
+
+/** What the last while needed, in CPUs: the fleet's target. */
+export class Demand {
+  private readonly seen: { at: Ms; cpus: number; ordinary: number }[] = [];
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly types: () => readonly MachineType[],
+  ) {}
+
+  remember(unmet: readonly Unmet[], now: Ms): void {
+    let cpus = 0;
+    let ordinary = 0;
+    const types = this.types();
+    for (const job of this.cluster.jobs.values())
+      if (job.placements.size > 0) {
+        const needed = job.placements.size * effectiveCpus(job.spec, types);
+        cpus += needed;
+        if (!job.spec.spot) ordinary += needed;
+      }
+    for (const u of unmet)
+      if (u.withinLimit) {
+        const needed = u.tasks * effectiveCpus(u.job.spec, types);
+        cpus += needed;
+        if (!u.job.spec.spot) ordinary += needed;
+      }
+    this.seen.push({ at: now, cpus, ordinary });
+    while ((this.seen[0]?.at ?? now) < now - PEAK_WINDOW_MS) this.seen.shift();
+  }
+
+  target(): { cpus: number; ordinary: number } {
+    let cpus = 0;
+    let ordinary = 0;
+    for (const d of this.seen) {
+      cpus += d.cpus;
+      ordinary = Math.max(ordinary, d.ordinary);
+    }
+    return {
+      cpus: (cpus / Math.max(1, this.seen.length)) * HEADROOM,
+      ordinary: ordinary * HEADROOM + Math.min(this.reserve(), ordinary * RESERVE_SHARE),
+    };
+  }
+
+  /** What the loss of one machine would leave without a place: the most that services hold on one. */
+  private reserve(): number {
+    let most = 0;
+    const types = this.types();
+    for (const m of this.cluster.machines.values()) {
+      if (m.spot || m.state !== 'ready') continue;
+      let cpus = 0;
+      for (const { job } of this.cluster.heldOn(m.id))
+        if (job.spec.kind === 'service') cpus += effectiveCpus(job.spec, types);
+      most = Math.max(most, cpus);
+    }
+    return most;
+  }
+}
+
+/** The machines as the fleet's planner sees them. */
+export function fleetView(cluster: Cluster, now: Ms, consolidates: boolean): FleetMachine[] {
+  const machines: FleetMachine[] = [];
+  const beside = new Map<Job, Beside | null>();
+  for (const m of cluster.machines.values()) {
+    const type = cluster.type(m.type);
+    if (type === undefined || m.state === 'gone' || m.state === 'releasing') continue;
+    let usedCpus = 0;
+    let usedGpus = 0;
+    let usedMemoryGb = 0;
+    let settled = true;
+    const replicas: Replica[] = [];
+    for (const { job, task } of cluster.heldOn(m.id)) {
+      usedCpus += job.spec.cpus;
+      usedGpus += job.spec.gpus;
+      usedMemoryGb += job.spec.memoryGb;
+      if (job.spec.kind === 'gang') settled = false;
+      if (job.spec.kind !== 'service' || !consolidates) continue;
+      let b = beside.get(job);
+      if (b === undefined) {
+        b = besideOf(cluster, job);
+        beside.set(job, b);
+      }
+      replicas.push({ ...job.spec, beside: b });
+      const p = job.placements.get(task);
+      if (p?.runningAt === null || p?.stop !== null || now - p.runningAt < SETTLED_MS) settled = false;
+    }
+    machines.push({
+      id: m.id,
+      type,
+      zone: m.zone,
+      spot: m.spot,
+      booting: m.state === 'booting',
+      returnable: m.rented || cluster.frugal,
+      idleS: m.idleSince === null ? 0 : (now - m.idleSince) / 1000,
+      usedCpus,
+      usedGpus,
+      usedMemoryGb,
+      takesTasks: m.takesTasks,
+      images: m.images,
+      replicas,
+      settled,
+    });
+  }
+  return machines;
+}
+
+function besideOf(cluster: Cluster, job: Job): Beside | null {
+  const { spec } = job;
+  if (!spec.spread && !spec.oneZone) return null;
+  const held = new Map<string, number>();
+  for (const p of job.placements.values()) {
+    const zone = cluster.machines.get(p.machine)?.zone ?? '';
+    held.set(zone, (held.get(zone) ?? 0) + 1);
+  }
+  return { held, most: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity, oneZone: spec.oneZone };
+}
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -18,6 +18,7 @@
 import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
 import { answerHorizonMs } from './settings.js';
+import type { RoomFactory } from './tenure.js';
 import type { WorkerLink } from './worker-link.js';
 import type { WorkerCommand } from '@spurbridge/wire';
 
@@ -32,6 +33,8 @@
   readonly link: (status: () => PeerMessage, receive: (message: PeerMessage) => void) => PeerLink;
   /** Tells this process from earlier ones of the same node. */
   readonly incarnation: string;
+  /** Concerns of the leader beyond the usual ones. */
+  readonly rooms?: readonly RoomFactory[];
 }
 
 export type ReportAnswer =
@@ -101,6 +104,7 @@
       wallNow,
       log,
       types: () => this.machineTypes,
+      rooms: this.parts.rooms ?? [],
       publish: (progress) => {
         this.peers.broadcast({ progress });
       },
@@ -181,10 +185,8 @@
         this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
       )
         return { code: 503 };
-      if (!leader.mayAnswer()) return { code: 503 };
-      leader.onReport(r);
-      const commands = leader.ordersFor(r);
-      leader.answered(r);
+      const commands = leader.report(r);
+      if (commands === null) return { code: 503 };
       return { code: 200, token: this.leadership.token, commands };
     }
     const known = this.leadership.leader();
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -2,10 +2,11 @@
 import { chunkKey, encodeChunk, encodeJob, jobKey } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
-import type { Attempt, Change, Condition, JobId, Version } from '@spurbridge/wire';
+import type { Attempt, Change, Condition, Item, JobId, Version } from '@spurbridge/wire';
 import { ABSENT } from '@spurbridge/wire';
-import type { Leader } from './leader.js';
+import type { Cluster } from './cluster.js';
 import { Signal } from './signal.js';
+import type { Tenure } from './tenure.js';
 
 /** Finished tasks wait this long for others to share their write; intents go at once. */
 const FOLD_MS = 400;
@@ -33,11 +34,26 @@
   private running = 0;
   private backOffUntil = 0 as Ms;
 
-  constructor(private readonly leader: Leader) {}
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+    /** Takes in a job's record that was read again. */
+    private readonly learn: (item: Item) => void,
+  ) {
+    cluster.on('placed', (job, task) => {
+      this.dirty(job, task, true);
+    });
+    cluster.on('off', (job, task) => {
+      this.dirty(job, task, false);
+    });
+    cluster.on('ended', (job) => {
+      this.ended(job);
+    });
+  }
 
-  dirty(job: Job, task: number, urgent: boolean): void {
+  private dirty(job: Job, task: number, urgent: boolean): void {
     if (job.state === 'done') return;
-    const now = this.leader.c.clock.now();
+    const now = this.tenure.c.clock.now();
     const chunk = job.chunkOf(task);
     const key = chunkKey(job.spec.id, chunk.index);
     const dueAt = urgent ? now : later(now, FOLD_MS);
@@ -51,7 +67,7 @@
   }
 
   /** The job is closing, or cancelled: its record and its task records are put in order. */
-  ended(job: Job): void {
+  private ended(job: Job): void {
     if (job.state === 'closing') this.closing.set(job.spec.id, job);
     if (job.state === 'done' || (job.state === 'cancelled' && job.placements.size === 0))
       this.clearing.add(job);
@@ -63,23 +79,23 @@
   }
 
   async run(): Promise<void> {
-    const { clock } = this.leader.c;
-    while (this.leader.active) {
+    const { clock } = this.tenure.c;
+    while (this.tenure.active) {
       await this.signal.wait(clock, 100);
-      while (this.leader.active && this.running < PARALLEL && this.launch());
+      while (this.tenure.active && this.running < PARALLEL && this.launch());
     }
   }
 
   /** Starts one commit; false when nothing is due. */
   private launch(): boolean {
-    const { clock, leadership } = this.leader.c;
+    const { clock, leadership } = this.tenure.c;
     if (clock.now() < this.backOffUntil || !leadership.holdsSurely()) return false;
     const work = this.closeOne() ?? this.writeChunks() ?? this.clearOne();
     if (work === null) return false;
     this.running += 1;
     work
       .catch((e: unknown) => {
-        this.leader.c.log.error({ error: String(e) }, 'recording failed');
+        this.tenure.c.log.error({ error: String(e) }, 'recording failed');
       })
       .finally(() => {
         this.running -= 1;
@@ -103,7 +119,7 @@
   }
 
   private async close(job: Job, key: string): Promise<void> {
-    const { store, log, wallNow, clock } = this.leader.c;
+    const { store, log, wallNow, clock } = this.tenure.c;
     this.busy.add(key);
     const at = wallNow() - (clock.now() - job.submittedAt);
     const changes: Change[] = [
@@ -116,12 +132,12 @@
     if (only !== undefined && only.version !== ABSENT)
       changes.push({ delete: chunkKey(job.spec.id, only.index) });
     const outcome = await store.commit(
-      [this.leader.c.leadership.condition(), { key, version: job.version }],
+      [this.tenure.c.leadership.condition(), { key, version: job.version }],
       changes,
       1,
     );
     this.busy.delete(key);
-    if (!this.leader.active) return;
+    if (!this.tenure.active) return;
     if (outcome.outcome === 'committed') {
       job.version = outcome.revision as number as Version;
       job.enter('done');
@@ -134,8 +150,8 @@
   }
 
   private writeChunks(): Promise<void> | null {
-    const now = this.leader.c.clock.now();
-    const most = this.leader.c.settings.state.txnOps;
+    const now = this.tenure.c.clock.now();
+    const most = this.tenure.c.settings.state.txnOps;
     const batch: { key: string; entry: Entry; value: unknown; edition: number }[] = [];
     let bytes = 0;
     const due = [...this.entries].filter(([key, e]) => e.dueAt <= now && !this.busy.has(key));
@@ -165,7 +181,7 @@
     batch: readonly { key: string; entry: Entry; value: unknown; edition: number }[],
     urgent: boolean,
   ): Promise<void> {
-    const { store, leadership } = this.leader.c;
+    const { store, leadership } = this.tenure.c;
     const conditions: Condition[] = [leadership.condition()];
     const changes: Change[] = [];
     const started = batch.map((b) => {
@@ -175,12 +191,12 @@
     });
     const outcome = await store.commit(conditions, changes, urgent ? 1 : 2);
     for (const b of batch) this.busy.delete(b.key);
-    if (!this.leader.active) return;
+    if (!this.tenure.active) return;
     if (outcome.outcome === 'committed') {
       batch.forEach((b, i) => {
         b.entry.chunk.version = outcome.revision as number as Version;
         b.entry.chunk.written = Math.max(b.entry.chunk.written, b.edition);
-        this.leader.onDurable(b.entry.job, started[i] ?? []);
+        this.cluster.durable(b.entry.job, started[i] ?? []);
       });
       return;
     }
@@ -202,16 +218,16 @@
       const chunks = job.chunks.filter((c) => c.version !== ABSENT);
       if (chunks.length === 0) {
         this.clearing.delete(job);
-        if (job.state === 'done' || job.placements.size === 0) this.leader.release(job);
+        if (job.state === 'done' || job.placements.size === 0) this.cluster.release(job);
         continue;
       }
-      return this.clear(job, chunks.slice(0, this.leader.c.settings.state.txnOps));
+      return this.clear(job, chunks.slice(0, this.tenure.c.settings.state.txnOps));
     }
     return null;
   }
 
   private async clear(job: Job, chunks: readonly Chunk[]): Promise<void> {
-    const { store, leadership } = this.leader.c;
+    const { store, leadership } = this.tenure.c;
     const keys = chunks.map((c) => chunkKey(job.spec.id, c.index));
     for (const k of keys) this.busy.add(k);
     const outcome = await store.commit(
@@ -220,7 +236,7 @@
       3,
     );
     for (const k of keys) this.busy.delete(k);
-    if (!this.leader.active) return;
+    if (!this.tenure.active) return;
     if (outcome.outcome === 'committed') for (const c of chunks) c.version = ABSENT;
     else await this.failed(outcome, []);
   }
@@ -230,7 +246,7 @@
     outcome: { readonly outcome: string; readonly failed?: readonly string[] },
     touched: readonly { key: string; job: Job; chunk: Chunk | null }[],
   ): Promise<void> {
-    const { store, leadership, clock } = this.leader.c;
+    const { store, leadership, clock } = this.tenure.c;
     const leaderKey = leadership.condition().key;
     if (outcome.outcome === 'conflict' && outcome.failed?.includes(leaderKey) === true) {
       leadership.lost('a conditioned write failed');
@@ -241,9 +257,9 @@
     for (const t of touched) {
       if (outcome.failed !== undefined && !outcome.failed.includes(t.key)) continue;
       const found = await store.read(t.key, 1);
-      if (!this.leader.active) return;
+      if (!this.tenure.active) return;
       if (found.outcome === 'found') {
-        if (t.chunk === null) this.leader.learnJob(found.item);
+        if (t.chunk === null) this.learn(found.item);
         else t.chunk.version = found.item.version;
       } else if (found.outcome === 'absent' && t.chunk !== null) t.chunk.version = ABSENT;
     }
--- /dev/null
+++ b/packages/controller/src/sweeper.ts
@@ -0,0 +1,199 @@
+import type { Machine } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { Cluster } from './cluster.js';
+import type { Fleet } from './fleet.js';
+import type { Reports } from './reports.js';
+import { SAVE_MARGIN_S } from './reports.js';
+import { longestReportMs, silentAfterMs } from './settings.js';
+import type { Tenure } from './tenure.js';
+
+/** Clocks of different machines drift apart by at most this. */
+const DRIFT = 0.0005;
+const LEASE_MARGIN_MS = 500;
+const SWEEP_MS = 500;
+/** Questions to a machine not heard; at once at most this share of the sockets, since hundreds may fall silent together. */
+const PROBES = 2;
+const PROBE_SHARE = 0.12;
+/** A machine not up after this many times its usual boot time is given back. */
+const BOOT_PATIENCE = 3;
+/** Found silent, a machine is released this much later: that proves its tasks gone sooner than the lease. */
+const SILENT_RELEASE_MS = 1500;
+/** Silence of this share of the machines points at our own network. */
+const MASS_SHARE = 0.5;
+const MASS_MS = 1500;
+/** None of at least so many workers heard, for this long and for so many usual intervals. */
+const DEAF_LEAST = 10;
+const DEAF_MS = 2000;
+const DEAF_REPORTS = 12;
+/** After a takeover, workers find the new leader with their next report, or with the one after. */
+const FIND_MS = 3250;
+
+/** Looks after silent machines, notices that run out and stops that take too long. */
+export class Sweeper {
+  private probing = 0;
+  private massSince: Ms | null = null;
+  private wasDeaf = false;
+
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+    private readonly fleet: Fleet,
+    private readonly reports: Reports,
+  ) {}
+
+  async run(): Promise<void> {
+    const { clock, leadership } = this.tenure.c;
+    while (this.tenure.active) {
+      await clock.sleep(SWEEP_MS);
+      if (!this.tenure.active || !leadership.holdsSurely()) continue;
+      const now = clock.now();
+      for (const m of [...this.cluster.machines.values()]) this.sweep(m, now);
+      this.sweepFleet(now);
+    }
+  }
+
+  private sweep(m: Machine, now: Ms): void {
+    const { settings, log } = this.tenure.c;
+    const { electedAt } = this.tenure;
+    if (m.state === 'gone' || m.state === 'releasing') return;
+    if (this.cluster.heldCount(m.id) > 0) {
+      const surelyOver = (settings.workers.leaseS * 1000 + LEASE_MARGIN_MS) * (1 + DRIFT * 2);
+      const last = Math.max(m.answeredUntil, m.heardAt ?? electedAt);
+      if (now - last > surelyOver) this.cluster.clearMachine(m.id, 'lease surely over');
+    }
+    const silence = now - Math.max(m.heardAt ?? electedAt, electedAt);
+    const heardBefore = m.state === 'ready' || m.state === 'draining';
+    const wasUp = m.state === 'booting' && this.cluster.heldCount(m.id) > 0;
+    if (!(heardBefore || wasUp) || silence <= longestReportMs(settings) + 1000) return this.expire(m, now);
+    if (m.probes < PROBES && this.probing < Math.max(8, settings.maxSockets * PROBE_SHARE)) {
+      m.probes += 1;
+      this.probe(m);
+    }
+    if (heardBefore && isUnreachable(m) && silence > silentAfterMs(settings)) {
+      log.info({ machine: m.id, silence: Math.round(silence) }, 'machine is silent');
+      m.enter('silent');
+      this.cluster.emit('plan');
+    }
+    this.expire(m, now);
+  }
+
+  /** What ends by itself on a machine: its notice, and the time that work with checkpoints has left. */
+  private expire(m: Machine, now: Ms): void {
+    if (m.goneBy !== null && now > later(m.goneBy, 1500)) this.fleet.giveBack(m, 'taken back');
+    if (m.state === 'draining')
+      for (const { job, task } of this.cluster.heldOn(m.id)) {
+        const p = job.placements.get(task);
+        if (p === undefined || p.stop !== null || m.goneBy === null) continue;
+        const graceS = job.spec.saveS + SAVE_MARGIN_S;
+        if (job.spec.kind === 'array' && job.spec.checkpointS > 0 && now > later(m.goneBy, -graceS * 1000)) {
+          job.askStop(task, graceS, 'drained', now);
+          this.cluster.emit('due', m.id);
+        }
+      }
+  }
+
+  private probe(m: Machine): void {
+    if (m.address === '') {
+      m.unansweredProbes += 1;
+      return;
+    }
+    const { workers, leadership, log } = this.tenure.c;
+    this.probing += 1;
+    workers
+      .show(m.address)
+      .finally(() => {
+        this.probing -= 1;
+      })
+      .then((report) => {
+        if (!this.tenure.active) return;
+        if (report === null) {
+          m.unansweredProbes += 1;
+          return;
+        }
+        leadership.observe(report.token, null);
+        if (this.tenure.active) this.reports.take(report);
+      })
+      .catch((e: unknown) => {
+        log.error({ machine: m.id, error: String(e) }, 'probe failed');
+      });
+  }
+
+  /** Machines that never came up, are silent, or have drained. */
+  private sweepFleet(now: Ms): void {
+    const silent: Machine[] = [];
+    const wave = this.fleet.isComingIn(now);
+    const leaseMs = this.tenure.c.settings.workers.leaseS * 1000;
+    const draining: Machine[] = [];
+    let heard = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.state === 'booting') {
+        // It was up under an earlier leader: not hearing it may be this node's own fault.
+        const unheardMs = now - m.firstSeen;
+        const suspect = unheardMs > this.unheardMs() && (!wave || unheardMs > leaseMs);
+        if (this.cluster.heldCount(m.id) > 0 && suspect) silent.push(m);
+        else this.sweepBooting(m, now);
+      } else if (m.state === 'silent') silent.push(m);
+      else if (m.state === 'ready') heard += 1;
+      else if (m.state === 'draining' && this.cluster.heldCount(m.id) === 0 && m.goneBy === null)
+        this.fleet.giveBack(m, m.drainReason);
+      else if (m.state === 'draining' && m.goneBy === null) draining.push(m);
+    }
+    if (draining.length > 0) this.fleet.moveReplicas(draining, now);
+    if (this.isDeaf(heard, now)) return this.resign('no worker is heard: the fault is here');
+    const mass = silent.length >= 3 && silent.length >= (silent.length + heard) * MASS_SHARE;
+    if (!mass) this.massSince = null;
+    else {
+      this.massSince ??= now;
+      // So many at once: more likely it is this node that cannot reach them. Another may lead.
+      if (now - this.massSince < MASS_MS) return;
+      if (this.tenure.c.leadership.mayResign())
+        return this.resign('most machines are silent: the fault may be here');
+    }
+    for (const m of silent) {
+      const last = m.heardAt ?? m.firstSeen;
+      const patienceMs =
+        m.state === 'booting'
+          ? this.unheardMs() + 6000
+          : silentAfterMs(this.tenure.c.settings) + SILENT_RELEASE_MS;
+      if ((now - last > patienceMs && isUnreachable(m)) || m.goneBy !== null)
+        this.fleet.giveBack(m, 'silent');
+    }
+  }
+
+  /**
+   * Whether this node hears none of many workers. Each reports on its own, so that hundreds of them fall
+   * silent within a second or two only for a fault of this node's: it need not wait for each to be late.
+   */
+  private isDeaf(heard: number, now: Ms): boolean {
+    const { settings, leadership } = this.tenure.c;
+    const expectedMs = longestReportMs(settings) / Math.max(1, heard);
+    const quietMs = now - (this.reports.lastAt ?? now);
+    const deaf = heard >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
+    // Twice in a row: what came while this process was held up is read between two sweeps.
+    const again = deaf && this.wasDeaf;
+    this.wasDeaf = deaf;
+    return again && leadership.mayResign();
+  }
+
+  private resign(reason: string): void {
+    const { leadership, log } = this.tenure.c;
+    leadership.resign(reason).catch((e: unknown) => {
+      log.error({ error: String(e) }, 'resigning failed');
+    });
+  }
+
+  private unheardMs(): number {
+    return longestReportMs(this.tenure.c.settings) + FIND_MS;
+  }
+
+  private sweepBooting(m: Machine, now: Ms): void {
+    const bootS = this.cluster.type(m.type)?.bootS ?? 60;
+    if (now - m.firstSeen > bootS * 1000 * BOOT_PATIENCE + 5000) this.fleet.giveBack(m, 'never came up');
+  }
+}
+
+/** Neither reports nor answers: a node behind its share misses reports of machines that answer well. */
+function isUnreachable(m: Machine): boolean {
+  return m.unansweredProbes >= PROBES;
+}
--- /dev/null
+++ b/packages/controller/src/tenure.ts
@@ -0,0 +1,57 @@
+import type { Cloud } from '@spurbridge/cloud';
+import type { Job, WallMs } from '@spurbridge/model';
+import type { Clock, Ms } from '@spurbridge/net';
+import type { Leadership, StateStore } from '@spurbridge/store';
+import type { JobProgress, MachineType } from '@spurbridge/wire';
+import type { Cluster } from './cluster.js';
+import type { Log } from './log.js';
+import type { Settings } from './settings.js';
+import type { WorkerLink } from './worker-link.js';
+
+/** What a leader works with, and is given by its node. */
+export interface LeaderContext {
+  readonly settings: Settings;
+  readonly store: StateStore;
+  readonly cloud: Cloud;
+  readonly workers: WorkerLink;
+  readonly leadership: Leadership;
+  readonly clock: Clock;
+  readonly wallNow: () => WallMs;
+  readonly log: Log;
+  readonly types: () => readonly MachineType[];
+  readonly publish: (progress: readonly JobProgress[]) => void;
+  /** Concerns beyond the usual ones, switched on by the program that was started. */
+  readonly rooms: readonly RoomFactory[];
+}
+
+/** One node's time as leader, from election to deposition: what every room of the leader shares. */
+export class Tenure {
+  readonly electedAt: Ms;
+  private over = false;
+
+  constructor(readonly c: LeaderContext) {
+    this.electedAt = c.clock.now();
+  }
+
+  get active(): boolean {
+    return !this.over;
+  }
+
+  end(): void {
+    this.over = true;
+  }
+}
+
+/**
+ * A concern of its own beside planning, recording, reports, fleet and sweeping. It takes the cluster's state,
+ * is told of its changes (`Cluster` is an emitter), and lives as long as its leader.
+ */
+export interface Room {
+  /** Reads what an earlier leader left; the first plan comes after it. Resolves early when deposed. */
+  restore(): Promise<void>;
+  run(): Promise<void>;
+  /** Whether the job takes part in the order now: only what has joined is planned. */
+  hasJoined(job: Job): boolean;
+}
+
+export type RoomFactory = (tenure: Tenure, cluster: Cluster) => Room;
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -2,7 +2,9 @@
 import type { Placement } from '@spurbridge/model';
 import type { Job } from '@spurbridge/model';
 import type { JobView, MachineView, Occupant, Snapshot } from '@spurbridge/planner';
-import type { Leader } from './leader.js';
+import type { Cluster } from './cluster.js';
+import type { Estimates } from './estimates.js';
+import type { Settings } from './settings.js';
 import { longestReportMs } from './settings.js';
 
 /** Starting value of the design: seconds of summed waiting after which a job goes first. */
@@ -31,23 +33,31 @@
   };
 }
 
-/** What the planner sees: everything that may be on a machine counts, also where none is heard. */
-export function snapshotOf(leader: Leader, now: Ms): Snapshot {
-  const { settings } = leader.c;
+/**
+ * What the planner sees: everything that may be on a machine counts, also where none is heard, and of the
+ * jobs those that have joined the order.
+ */
+export function snapshotOf(
+  cluster: Cluster,
+  estimates: Estimates,
+  settings: Settings,
+  now: Ms,
+  hasJoined: (job: Job) => boolean,
+): Snapshot {
   const machines: MachineView[] = [];
   const expected = new Map<Job, number>();
   const expect = (job: Job): number => {
     let s = expected.get(job);
     if (s === undefined) {
-      s = leader.estimates.expect(job.spec);
+      s = estimates.expect(job.spec);
       expected.set(job, s);
     }
     return s;
   };
   const freshMs = longestReportMs(settings) + 1500;
-  for (const m of leader.machines.values()) {
+  for (const m of cluster.machines.values()) {
     if (m.state === 'gone') continue;
-    const type = leader.type(m.type) ?? {
+    const type = cluster.type(m.type) ?? {
       name: m.type,
       cpus: 0,
       gpus: 0,
@@ -61,7 +71,7 @@
     };
     const occupants: Occupant[] = [];
     const { slowness } = m;
-    for (const { job, task } of leader.heldOn(m.id)) {
+    for (const { job, task } of cluster.heldOn(m.id)) {
       const p = job.placements.get(task);
       if (p !== undefined) occupants.push(occupant(job, p, now, expect(job) * slowness));
     }
@@ -78,23 +88,30 @@
   }
   const jobs: JobView[] = [];
   let order = 0;
-  const active = [...leader.jobs.values()].filter((j) => j.state === 'active');
+  const active = [...cluster.jobs.values()].filter((j) => j.state === 'active' && hasJoined(j));
   active.sort((a, b) => a.submittedAt - b.submittedAt);
-  for (const job of active) jobs.push(viewOf(leader, job, now, order++));
+  for (const job of active) jobs.push(viewOf(cluster, estimates, settings, job, now, order++));
   return {
     jobs,
     machines,
     teams: settings.teams,
     starvationS: STARVATION_S,
-    frugal: leader.frugal,
-    typicalTask: leader.estimates.typicalTask(),
+    frugal: cluster.frugal,
+    typicalTask: estimates.typicalTask(),
   };
 }
 
-function viewOf(leader: Leader, job: Job, now: Ms, order: number): JobView {
+function viewOf(
+  cluster: Cluster,
+  estimates: Estimates,
+  settings: Settings,
+  job: Job,
+  now: Ms,
+  order: number,
+): JobView {
   const zones: string[] = [];
   if (job.pendingCount > 0)
-    for (const p of job.placements.values()) zones.push(leader.machines.get(p.machine)?.zone ?? '');
+    for (const p of job.placements.values()) zones.push(cluster.machines.get(p.machine)?.zone ?? '');
   // A gang starts as a whole: while any task of the old attempt may be there, none can, but for what
   // completes an attempt that has not started.
   const blocked = job.spec.kind === 'gang' && job.placements.size > 0 && !job.awaitsReplacement;
@@ -108,10 +125,10 @@
     zones,
     summedWaitS: waitS * job.pendingCount,
     ageS: (now - job.submittedAt) / 1000,
-    estimateS: leader.estimates.expect(job.spec),
-    milestonesS: milestones(leader, job),
-    startMilestonesS: startMilestones(leader, job),
-    patienceS: patience(leader, job, (now - job.submittedAt) / 1000),
+    estimateS: estimates.expect(job.spec),
+    milestonesS: milestones(settings, job),
+    startMilestonesS: startMilestones(settings, job),
+    patienceS: patience(settings, job, (now - job.submittedAt) / 1000),
     avoid: job.failedOn,
     order,
     // After a takeover a machine may be known by its id alone: without the zones of what it may run,
@@ -124,8 +141,8 @@
 const LATE_PATIENCE_S = 2;
 
 /** What the aims leave a job to wait before its start; one that is late already is treated alike. */
-function patience(leader: Leader, job: Job, ageS: number): number {
-  const { objectives } = leader.c.settings;
+function patience(settings: Settings, job: Job, ageS: number): number {
+  const { objectives } = settings;
   const aim =
     objectives.find((o) => o.kind === 'wait' && o.class === job.spec.class) ??
     objectives.find((o) => o.kind === 'guarantee');
@@ -134,17 +151,17 @@
   return withinS - ageS - 1 > 0 ? withinS - ageS - 1 : LATE_PATIENCE_S;
 }
 
-function startMilestones(leader: Leader, job: Job): number[] {
+function startMilestones(settings: Settings, job: Job): number[] {
   const ages: number[] = [];
-  for (const o of leader.c.settings.objectives)
+  for (const o of settings.objectives)
     if (o.class === job.spec.class && o.kind === 'wait' && o.withinS !== null) ages.push(o.withinS);
   return ages.sort((a, b) => a - b);
 }
 
-function milestones(leader: Leader, job: Job): number[] {
+function milestones(settings: Settings, job: Job): number[] {
   const { spec } = job;
   const ages: number[] = [];
-  for (const o of leader.c.settings.objectives) {
+  for (const o of settings.objectives) {
     if (o.class !== spec.class) continue;
     if (o.kind === 'deadline' && spec.deadlineS !== null) ages.push(spec.deadlineS * (o.times ?? 1));
     else if (o.kind === 'finished' && o.withinS !== null) ages.push(o.withinS);
