Tariff-aware timing: calendar, feed, run times, release decision and a room of the leader; off by default

Need: deferrable work should wait for a cheaper or cleaner hour and never miss its finish time for it. The release decision is a pure function; deferrals live in a few paged records, so that a takeover goes on where the last leader was.

An error of the decision deposed one leader after the other: now it is logged and all that waits is released.

--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -15,13 +15,13 @@
 /** What the rooms are told. Listeners are called at once, in the order in which they asked. */
 export interface ClusterEvents {
   /** A job is known from now on. */
-  joined: [job: Job];
+  learned: [job: Job];
   /** What users see of the job may have changed. */
   changed: [job: Job];
   /** A task is to be started: durable first. */
   placed: [job: Job, task: number];
-  /** A task is proven to be off its machine. */
-  off: [job: Job, task: number];
+  /** A task is proven to be off its machine, and done or not; the placement as it was. */
+  off: [job: Job, placement: Placement, done: boolean];
   /** All tasks are done, or the job is cancelled. */
   ended: [job: Job];
   /** The job is over and nothing refers to it any more. */
@@ -85,7 +85,7 @@
           'job learned',
         );
       this.jobs.set(spec.id, job);
-      this.emit('joined', job);
+      this.emit('learned', job);
     }
     if (version >= job.version) {
       job.version = version;
@@ -193,7 +193,7 @@
     on?.delete(name);
     if (machine !== undefined && (on === undefined || on.size === 0)) machine.idleSince = now;
     this.emit('changed', job);
-    this.emit('off', job, p.task);
+    this.emit('off', job, p, done);
     // A gang that lost a task cannot go on: the rest is told, so that all can start anew together. Where it
     // surely has not started, a replacement under the same attempt completes it; but a machine that still
     // knows this attempt of the task would not start it again.
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -44,7 +44,7 @@
     this.tenure = tenure;
     this.cluster = cluster;
     const estimates = new Estimates();
-    cluster.on('joined', ({ spec }) => {
+    cluster.on('learned', ({ spec }) => {
       if (spec.kind !== 'service' && spec.cpus > 0) estimates.sized(spec);
     });
     this.shown = new Progress(tenure, cluster);
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -43,8 +43,8 @@
     cluster.on('placed', (job, task) => {
       this.dirty(job, task, true);
     });
-    cluster.on('off', (job, task) => {
-      this.dirty(job, task, false);
+    cluster.on('off', (job, p) => {
+      this.dirty(job, p.task, false);
     });
     cluster.on('ended', (job) => {
       this.ended(job);
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,95 @@
+import { randomBytes } from 'node:crypto';
+import { HttpCloud } from '@spurbridge/cloud';
+import { Controller, HttpWorkerLink, Peers, buildServer } from '@spurbridge/controller';
+import type { RoomFactory, Settings } from '@spurbridge/controller';
+import type { WallMs } from '@spurbridge/model';
+import { steadyClock } from '@spurbridge/net';
+import { HttpStateStore } from '@spurbridge/store';
+import { Command, Option } from 'commander';
+import { destination, pino } from 'pino';
+import manifest from '../package.json' with { type: 'json' };
+import { SettingsError, readSettings } from './settings.js';
+
+function levelFrom(variable: string | undefined): string {
+  return variable !== undefined && ['error', 'info', 'debug'].includes(variable) ? variable : 'info';
+}
+
+async function serve(settings: Settings, level: string, rooms: readonly RoomFactory[]): Promise<void> {
+  const log = pino(
+    { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
+    destination({ fd: 2, sync: true }),
+  );
+  const controller = new Controller({
+    settings,
+    store: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
+    cloud: new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock),
+    workers: new HttpWorkerLink(settings.maxSockets),
+    clock: steadyClock,
+    wallNow: () => Date.now() as WallMs,
+    log,
+    link: (status, receive) => new Peers(settings.peers, steadyClock, log, status, receive, settings.back),
+    incarnation: randomBytes(8).toString('hex'),
+    rooms,
+  });
+  const app = buildServer(controller, log);
+  const colon = settings.listen.lastIndexOf(':');
+  await app.listen({
+    host: settings.listen.slice(0, colon),
+    port: Number(settings.listen.slice(colon + 1)),
+  });
+  log.info({ listen: settings.listen, back: settings.back, zone: settings.zone }, 'serving');
+  await controller.run();
+}
+
+/** What a program that was started adds to the usual one. */
+export interface Addition {
+  /** Adds its own flags. */
+  readonly flags: (program: Command) => void;
+  /** Rooms made from the flags' values; a `SettingsError` says what is wrong with them. */
+  readonly rooms: (flags: Readonly<Record<string, unknown>>) => readonly RoomFactory[];
+}
+
+interface Flags {
+  readonly config: string;
+  readonly check?: boolean;
+  readonly logLevel?: string;
+}
+
+/** The daemon's command line: reads flags and settings, then serves until killed. */
+export function runDaemon(addition: Addition | null): void {
+  const program = new Command('spurbridge')
+    .description('Cluster scheduler: one controller node')
+    .version(manifest.version)
+    .requiredOption('--config <file>', "the platform's settings file (TOML)")
+    .option('--check', 'check the settings and exit')
+    .addOption(
+      new Option('--log-level <level>', 'least severe level that is logged').choices([
+        'error',
+        'info',
+        'debug',
+      ]),
+    );
+  addition?.flags(program);
+  program.action(async (flags: Flags & Readonly<Record<string, unknown>>) => {
+    let settings: Settings;
+    let rooms: readonly RoomFactory[];
+    try {
+      settings = readSettings(flags.config);
+      rooms = addition?.rooms(flags) ?? [];
+    } catch (e) {
+      if (!(e instanceof SettingsError)) throw e;
+      process.stderr.write(`${e.message}\n`);
+      process.exitCode = 2;
+      return;
+    }
+    if (flags.check === true) {
+      process.stdout.write(`settings of ${settings.node} are valid\n`);
+      return;
+    }
+    await serve(settings, flags.logLevel ?? levelFrom(process.env['LOG_LEVEL']), rooms);
+  });
+  program.parseAsync().catch((e: unknown) => {
+    process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
+    process.exitCode = 1;
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/main-tariff.ts
@@ -0,0 +1,105 @@
+import { readFileSync } from 'node:fs';
+import { randomInt } from 'node:crypto';
+import type { TariffOptions } from '@spurbridge/tariff';
+import { HttpFeed, TARIFF_DEFAULTS, checkCalendar, tariffRoom } from '@spurbridge/tariff';
+import type { TariffDocument } from '@spurbridge/wire';
+import { parseTariff } from '@spurbridge/wire';
+import type { Command } from 'commander';
+import { InvalidArgumentError, Option } from 'commander';
+import { parse } from 'smol-toml';
+import { runDaemon } from './daemon.js';
+import { SettingsError } from './settings.js';
+
+interface TariffFlags {
+  readonly tariff?: string;
+  readonly tariffFeed?: string;
+  readonly tariffCarbon: number;
+  readonly tariffPatternH: number;
+  readonly tariffSilentS: number;
+  readonly tariffSaving: number;
+  readonly tariffProbability: number;
+  readonly tariffSpareRuns: number;
+  readonly tariffClasses?: string;
+}
+
+function within(least: number, most: number): (text: string) => number {
+  return (text) => {
+    const n = Number(text);
+    if (text.trim() === '' || !(n >= least && n <= most))
+      throw new InvalidArgumentError(`a number from ${least} to ${most} is expected`);
+    return n;
+  };
+}
+
+function number(name: string, what: string, byDefault: number, least: number, most: number): Option {
+  const variable = `SPURBRIDGE_${name.toUpperCase().replaceAll('-', '_')}`;
+  return new Option(`--${name} <number>`, what)
+    .argParser(within(least, most))
+    .default(byDefault)
+    .env(variable);
+}
+
+function flags(program: Command): void {
+  const d = TARIFF_DEFAULTS;
+  program
+    .addOption(new Option('--tariff <file>', 'the tariff (TOML)').env('SPURBRIDGE_TARIFF'))
+    .addOption(
+      new Option('--tariff-feed <url>', 'where newer ones are published').env('SPURBRIDGE_TARIFF_FEED'),
+    )
+    .addOption(
+      new Option('--tariff-classes <names>', 'classes that may wait, by comma (all with a deadline)').env(
+        'SPURBRIDGE_TARIFF_CLASSES',
+      ),
+    )
+    .addOption(number('tariff-carbon', 'weight of carbon against price', d.carbonShare, 0, 1))
+    .addOption(
+      number('tariff-pattern-h', 'hours for which windows outlive their tariff', d.patternS / 3600, 0, 720),
+    )
+    .addOption(number('tariff-silent-s', 'seconds after which a feed counts as silent', 3600, 1, 604_800))
+    .addOption(number('tariff-saving', 'share of its cost that a wait must save', d.leastSaving, 0, 1))
+    .addOption(
+      number('tariff-probability', 'share of run times to be safe against', d.probability, 0.5, 0.9999),
+    )
+    .addOption(number('tariff-spare-runs', 'lost runs of a task to be safe against', d.spareRuns, 0, 10));
+}
+
+function readTariff(path: string): TariffDocument {
+  try {
+    const t = parseTariff(parse(readFileSync(path, 'utf8')));
+    checkCalendar(t);
+    return t;
+  } catch (e) {
+    const first = (e instanceof Error ? e.message : String(e)).split('\n')[0] ?? '';
+    throw new SettingsError(`tariff ${path}: ${first}`);
+  }
+}
+
+function feedOf(url: string, silentS: number): TariffOptions['feed'] {
+  if (!URL.canParse(url) || !['http:', 'https:'].includes(new URL(url).protocol))
+    throw new SettingsError(`--tariff-feed: expected an http or https URL, not ${url}`);
+  return { source: new HttpFeed(url), seed: randomInt(2 ** 31), silentS };
+}
+
+runDaemon({
+  flags,
+  rooms: (given) => {
+    const f = given as unknown as TariffFlags;
+    if (f.tariff === undefined && f.tariffFeed === undefined)
+      throw new SettingsError('--tariff or --tariff-feed: expected one of them');
+    const classes = f.tariffClasses?.split(',').map((c) => c.trim()) ?? null;
+    if (classes?.includes('') === true)
+      throw new SettingsError('--tariff-classes: expected names, separated by commas');
+    return [
+      tariffRoom({
+        document: f.tariff === undefined ? null : readTariff(f.tariff),
+        feed: f.tariffFeed === undefined ? null : feedOf(f.tariffFeed, f.tariffSilentS),
+        carbonShare: f.tariffCarbon,
+        patternS: f.tariffPatternH * 3600,
+        leastSaving: f.tariffSaving,
+        probability: f.tariffProbability,
+        spareRuns: f.tariffSpareRuns,
+        classes,
+      }),
+    ];
+  },
+});
--- /dev/null
+++ b/packages/tariff/src/room.ts
@@ -0,0 +1,427 @@
+import type { Cluster, Room, RoomFactory, Tenure } from '@spurbridge/controller';
+import { Signal, silentAfterMs } from '@spurbridge/controller';
+import type { Job, Placement, WallMs } from '@spurbridge/model';
+import { fitsType } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { effectiveCpus } from '@spurbridge/planner';
+import type { JobId, JobSpec, TariffDocument } from '@spurbridge/wire';
+import { ABSENT } from '@spurbridge/wire';
+import type { DeferralState } from './deferral.js';
+import { Deferral } from './deferral.js';
+import type { FeedSource } from './feed.js';
+import { FeedClient, refusal } from './feed.js';
+import { Keeper } from './keeper.js';
+import { Outlook } from './outlook.js';
+import type { Capacity, Decision, ReleaseInput, WaitingJob } from './release.js';
+import { decideReleases } from './release.js';
+
+export interface TariffOptions {
+  /** The tariff of a file, used until a feed has a newer one. */
+  readonly document: TariffDocument | null;
+  /** The feed, or null for the file alone; the seed spreads its requests. */
+  readonly feed: { readonly source: FeedSource; readonly seed: number; readonly silentS: number } | null;
+  /** 0: price alone; 1: carbon alone. */
+  readonly carbonShare: number;
+  /** Seconds beyond a tariff's validity for which its recurring windows are believed. */
+  readonly patternS: number;
+  /** Share of its cost that a wait must save. */
+  readonly leastSaving: number;
+  /** A task's run time is taken to be at most what this share of them take. */
+  readonly probability: number;
+  /** Lost runs of a task that a finish time must survive. */
+  readonly spareRuns: number;
+  /** Classes that may be deferred, or null for all that have a deadline. */
+  readonly classes: readonly string[] | null;
+}
+
+export const TARIFF_DEFAULTS: TariffOptions = {
+  document: null,
+  feed: null,
+  carbonShare: 0,
+  patternS: 48 * 3600,
+  leastSaving: 0.05,
+  probability: 0.98,
+  spareRuns: 1,
+  classes: null,
+};
+
+const LEAST_GAP_MS = 250;
+/** After a decision, this many times as long as it took is left to everything else. */
+const REST = 20;
+const USUAL_GAP_MS = 5000;
+const LEARN_MS = 60_000;
+const FLUSH_ROUNDS = 20;
+/** A new planned moment is recorded only when it differs by this much. */
+const MOVED_MS = 60_000;
+/** Boots and fetches take up to this many times their nominal time, but for a few. */
+const SLOW_LEAD = 1.6;
+const PLAN_LEAD_S = 2;
+const TAKEOVER_S = 12;
+const ASSUMED_BOOT_S = 60;
+/** A gang needs all its places at once: one wider than this share of what is there is not deferred. */
+const GANG_SHARE = 0.5;
+
+/** Where a job that has not started stands: only `joined` ones take part in the order. */
+type Standing = 'new' | 'waiting' | 'joined';
+
+/**
+ * Keeps deferrable jobs out of the order until their release. It decides only when a job joins; whoever has
+ * joined is treated like everybody else, and no start, quota or stop is touched.
+ */
+class TariffRoom implements Room {
+  private readonly keeper: Keeper;
+  private readonly outlook: Outlook;
+  private readonly signal = new Signal();
+  /** Jobs that are known and deferrable, until they start or end. */
+  private readonly standing = new Map<JobId, Standing>();
+  private readonly feed: FeedClient | null;
+  private nextAt: WallMs | null = null;
+  private restoredAt: Ms | null = null;
+
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+    private readonly o: TariffOptions,
+  ) {
+    this.keeper = new Keeper(tenure);
+    this.outlook = new Outlook(o);
+    const { clock, log } = tenure.c;
+    this.feed =
+      o.feed === null
+        ? null
+        : new FeedClient({
+            source: o.feed.source,
+            seed: o.feed.seed,
+            silentS: o.feed.silentS,
+            clock,
+            log,
+            last: () => this.keeper.document,
+            take: (t) => this.take(t),
+          });
+    cluster.on('learned', (job) => {
+      if (this.isDeferrable(job)) {
+        this.standing.set(job.spec.id, 'new');
+        this.signal.raise();
+      }
+    });
+    cluster.on('placed', (job) => this.standing.delete(job.spec.id));
+    cluster.on('ended', (job) => {
+      if (this.standing.delete(job.spec.id)) this.signal.raise();
+    });
+    cluster.on('off', (job, p, done) => {
+      if (done) this.learn(job.spec, p);
+    });
+  }
+
+  private wall(): WallMs {
+    return this.tenure.c.wallNow();
+  }
+
+  // --- life ------------------------------------------------------------------------------------
+
+  async restore(): Promise<void> {
+    await this.keeper.load();
+    if (!this.tenure.active) return;
+    const stated = this.o.document;
+    // A feed's tariff of an earlier leader is newer than this file, unless the file says otherwise.
+    if (stated !== null && stated !== this.keeper.document)
+      if (this.keeper.document === null || refusal(stated, this.keeper.document) === null)
+        if (stated.revision !== this.keeper.document?.revision) await this.take(stated);
+    // The file goes without being kept: every node has it.
+    this.keeper.document ??= stated;
+    for (const job of this.cluster.jobs.values())
+      if (hasBegun(job)) this.standing.delete(job.spec.id);
+      else if (this.standing.has(job.spec.id)) {
+        const d = this.keeper.book.get(job.spec.id);
+        if (d !== undefined) this.standing.set(job.spec.id, d.state === 'deferred' ? 'waiting' : 'joined');
+      }
+    for (const d of [...this.keeper.book.all()])
+      if (!this.standing.has(d.job)) this.keeper.book.remove(d.job);
+    this.restoredAt = this.tenure.c.clock.now();
+    this.decide();
+  }
+
+  async run(): Promise<void> {
+    await Promise.all([
+      this.decideLoop(),
+      this.learnLoop(),
+      this.feed?.run(() => this.tenure.active) ?? Promise.resolve(),
+    ]);
+  }
+
+  hasJoined(job: Job): boolean {
+    const s = this.standing.get(job.spec.id);
+    return s === undefined || s === 'joined';
+  }
+
+  private async take(t: TariffDocument): Promise<boolean> {
+    const kept = await this.keeper.keepDocument(t);
+    if (kept) {
+      this.tenure.c.log.info({ revision: t.revision, slots: t.slots.length }, 'tariff taken');
+      this.signal.raise();
+    }
+    return kept;
+  }
+
+  private async decideLoop(): Promise<void> {
+    const { clock, leadership } = this.tenure.c;
+    while (this.tenure.active) {
+      const dueMs = this.nextAt === null ? USUAL_GAP_MS : this.nextAt - this.wall();
+      await this.signal.wait(clock, Math.max(LEAST_GAP_MS, Math.min(USUAL_GAP_MS, dueMs)));
+      if (!this.tenure.active) return;
+      const began = clock.now();
+      if (leadership.holdsSurely()) {
+        this.decide();
+        await this.settle();
+      }
+      await clock.sleep(Math.max(LEAST_GAP_MS, (clock.now() - began) * REST));
+    }
+  }
+
+  /** Makes decisions durable; those released join the order only then, so that no leader defers them anew. */
+  private async settle(): Promise<void> {
+    for (let round = 0; round < FLUSH_ROUNDS && this.tenure.active; round += 1)
+      if (await this.keeper.flush()) break;
+    if (!this.tenure.active) return;
+    let joined = 0;
+    for (const d of [...this.keeper.book.all()]) {
+      if (d.state !== 'deferred' && this.keeper.book.isDurable(d.job))
+        if (this.standing.get(d.job) === 'waiting') {
+          this.standing.set(d.job, 'joined');
+          joined += 1;
+        }
+      // Once a start of it is durable, or the job is over, its task records say all.
+      const job = this.cluster.jobs.get(d.job);
+      if (job === undefined || job.state !== 'active' || isRecorded(job)) this.keeper.book.remove(d.job);
+    }
+    if (joined > 0) this.cluster.emit('plan');
+  }
+
+  private async learnLoop(): Promise<void> {
+    while (this.tenure.active) {
+      await this.tenure.c.clock.sleep(LEARN_MS);
+      if (!this.tenure.active || !this.tenure.c.leadership.holdsSurely()) continue;
+      await this.keeper.keepLearned();
+      const waiting = [...this.standing.values()].filter((s) => s === 'waiting').length;
+      if (waiting > 0)
+        this.tenure.c.log.info({ waiting, next: this.nextAt, feed: this.feed?.state ?? 'none' }, 'deferred');
+    }
+  }
+
+  private learn(spec: JobSpec, p: Placement): void {
+    if (spec.kind !== 'array' || p.runningAt === null) return;
+    // One that ran already when this node took over began at a time that nobody here knows.
+    if (p.placedAt <= (this.restoredAt ?? Infinity)) return;
+    this.keeper.runTimes(spec.class).learn(spec, (this.tenure.c.clock.now() - p.runningAt) / 1000);
+  }
+
+  // --- what may be deferred --------------------------------------------------------------------
+
+  private isDeferrable(job: Job): boolean {
+    const { spec } = job;
+    if (spec.kind === 'service' || spec.deadlineS === null || spec.estimateS <= 0) return false;
+    if (spec.priority === 'production' || spec.priority === 'high') return false;
+    if (this.o.classes !== null && !this.o.classes.includes(spec.class)) return false;
+    return job.state === 'active' && !hasBegun(job);
+  }
+
+  private submitted(job: Job): WallMs {
+    return (this.wall() - (this.tenure.c.clock.now() - job.submittedAt)) as WallMs;
+  }
+
+  /** By when the job must be complete: its deadline, or what the aims of its class say if that is sooner. */
+  private finishBy(job: Job, deadlineS: number): WallMs {
+    let withinS = deadlineS;
+    for (const x of this.tenure.c.settings.objectives) {
+      if (x.class !== job.spec.class) continue;
+      if (x.kind === 'deadline' && x.times !== null) withinS = Math.min(withinS, deadlineS * x.times);
+      if (x.kind === 'finished' && x.withinS !== null) withinS = Math.min(withinS, x.withinS);
+    }
+    return (this.submitted(job) + withinS * 1000) as WallMs;
+  }
+
+  private startBy(job: Job): WallMs | null {
+    let withinS = Infinity;
+    for (const x of this.tenure.c.settings.objectives)
+      if (x.class === job.spec.class && x.kind === 'wait') withinS = Math.min(withinS, x.withinS ?? Infinity);
+    return withinS === Infinity ? null : ((this.submitted(job) + withinS * 1000) as WallMs);
+  }
+
+  private leadS(spec: JobSpec): number {
+    const types = this.tenure.c.types().filter((t) => fitsType(spec, t));
+    const bootS = this.cluster.frugal ? Math.max(...types.map((t) => t.bootS), 0) || ASSUMED_BOOT_S : 0;
+    const rate = Math.min(...types.map((t) => t.fetchGbPerS), Infinity);
+    const fetchS = rate > 0 && rate < Infinity ? spec.imageGb / rate : 0;
+    return PLAN_LEAD_S + (bootS + fetchS) * SLOW_LEAD;
+  }
+
+  private waitingJob(job: Job, team: number, zones: readonly string[], deadlineS: number): WaitingJob {
+    const { spec } = job;
+    const times = this.keeper.runTimes(spec.class);
+    const taskS = times.atMostS(spec.estimateS, this.o.probability);
+    const leadS = this.leadS(spec);
+    const cpus = spec.tasks * effectiveCpus(spec, this.tenure.c.types());
+    const lostS = taskS + leadS + silentAfterMs(this.tenure.c.settings) / 1000;
+    return {
+      id: spec.id,
+      deferred: this.standing.get(spec.id) === 'waiting',
+      team,
+      prices: spec.zone === null ? 0 : zones.indexOf(spec.zone) + 1,
+      cpus,
+      work: cpus * times.meanS(spec.estimateS),
+      taskS,
+      leadS,
+      marginS: TAKEOVER_S + lostS * this.o.spareRuns,
+      finishBy: this.finishBy(job, deadlineS),
+      startBy: this.startBy(job),
+    };
+  }
+
+  // --- decisions -------------------------------------------------------------------------------
+
+  private zones(): string[] {
+    const zones = new Set<string>();
+    for (const t of this.tenure.c.types()) for (const z of t.zones) zones.add(z);
+    for (const m of this.cluster.machines.values()) if (m.zone !== '') zones.add(m.zone);
+    return [...zones].sort();
+  }
+
+  /** What stands ahead of the deferred work: CPUs in use for good, and CPU seconds still to be done. */
+  private observe(): { team: Map<string, number>; pool: number } {
+    const steady = new Map<string, number>();
+    const ahead = new Map<string, number>();
+    let pool = 0;
+    const types = this.tenure.c.types();
+    for (const job of this.cluster.jobs.values()) {
+      if (job.state !== 'active') continue;
+      const s = this.standing.get(job.spec.id);
+      if (s === 'new' || s === 'waiting') continue;
+      const { spec } = job;
+      const cpus = effectiveCpus(spec, types);
+      if (spec.kind === 'service') steady.set(spec.team, (steady.get(spec.team) ?? 0) + cpus * spec.tasks);
+      else {
+        const work =
+          cpus * (spec.tasks - job.doneCount) * this.keeper.runTimes(spec.class).meanS(spec.estimateS);
+        ahead.set(spec.team, (ahead.get(spec.team) ?? 0) + work);
+        pool += work;
+        // A stream of urgent work is there in the next minute, too.
+        if (spec.deadlineS === null || spec.priority === 'production' || spec.priority === 'high')
+          steady.set(spec.team, (steady.get(spec.team) ?? 0) + cpus * job.placements.size);
+      }
+    }
+    let cpus = 0;
+    for (const m of this.cluster.machines.values())
+      if (m.takesTasks) cpus += this.cluster.type(m.type)?.cpus ?? 0;
+    this.keeper.capacity.observe(this.tenure.c.clock.now(), cpus, steady);
+    return { team: ahead, pool };
+  }
+
+  /**
+   * Deferring is a favour to the bill: should it fail, the leader goes on, and what waits is released. A
+   * time that the calendar refused once deposed one leader after the other.
+   */
+  private decide(): void {
+    try {
+      this.decideAll();
+    } catch (e) {
+      this.tenure.c.log.error(
+        { error: e instanceof Error ? (e.stack ?? e.message) : String(e) },
+        'deferring failed: all that waits is released',
+      );
+      const now = this.wall();
+      for (const [id, s] of this.standing)
+        if (s !== 'joined') this.carryOut({ id, at: now, reason: 'no-room', ratio: 1 }, now, 0);
+    }
+  }
+
+  private decideAll(): void {
+    const doc = this.keeper.document;
+    const undecided = [...this.standing].filter(([, s]) => s === 'new' || s === 'waiting');
+    const ahead = this.observe();
+    this.nextAt = null;
+    if (undecided.length === 0) return;
+    const now = this.wall();
+    // With no tariff there is nothing to wait for.
+    if (doc === null) {
+      for (const [id] of undecided) this.carryOut({ id, at: now, reason: 'no-saving', ratio: 1 }, now, 0);
+      return;
+    }
+    const { teams } = this.tenure.c.settings;
+    const zones = this.zones();
+    const jobs: WaitingJob[] = [];
+    let last = now;
+    for (const [id] of undecided) {
+      const job = this.cluster.jobs.get(id);
+      const deadlineS = job?.spec.deadlineS ?? null;
+      const team = teams.findIndex((t) => t.name === job?.spec.team);
+      if (job === undefined || deadlineS === null || team < 0) continue;
+      const waiting = this.waitingJob(job, team, zones, deadlineS);
+      last = Math.max(last, waiting.finishBy) as WallMs;
+      const most = this.keeper.capacity.of(teams[team] as (typeof teams)[number]) * GANG_SHARE;
+      if (job.spec.kind === 'gang' && waiting.cpus > most)
+        this.carryOut({ id, at: now, reason: 'no-room', ratio: 1 }, now, doc.revision);
+      else jobs.push(waiting);
+    }
+    const costs = this.outlook.costs(doc, zones, now, last);
+    const input: ReleaseInput = {
+      now,
+      jobs,
+      teams: teams.map((t): Capacity => ({
+        cpus: this.keeper.capacity.of(t),
+        ahead: ahead.team.get(t.name) ?? 0,
+      })),
+      pool: { cpus: this.keeper.capacity.pool, ahead: ahead.pool },
+      starts: costs.starts,
+      until: costs.until,
+      prices: costs.cost,
+      leastSaving: this.o.leastSaving,
+    };
+    for (const d of decideReleases(input)) this.carryOut(d, now, doc.revision);
+  }
+
+  private carryOut(d: Decision, now: WallMs, revision: number): void {
+    const { book } = this.keeper;
+    const known = book.get(d.id);
+    const { log } = this.tenure.c;
+    if (d.at <= now) {
+      if (known === undefined) {
+        this.standing.set(d.id, 'joined');
+        this.cluster.emit('plan');
+        return;
+      }
+      if (known.state !== 'deferred') return;
+      const next: DeferralState = d.reason === 'latest' || d.reason === 'no-room' ? 'forced' : 'released';
+      known.change(next, now, d.reason, revision);
+      book.touched(d.id);
+      log.debug({ job: d.id, state: next, reason: d.reason, waitedMs: now - known.since }, 'job released');
+      return;
+    }
+    this.nextAt = this.nextAt === null ? d.at : (Math.min(this.nextAt, d.at) as WallMs);
+    if (known === undefined) {
+      book.add(new Deferral(d.id, now, d.at, d.reason, revision));
+      this.standing.set(d.id, 'waiting');
+      log.debug({ job: d.id, until: d.at, reason: d.reason, ratio: d.ratio, revision }, 'job deferred');
+    } else if (
+      known.state === 'deferred' &&
+      (Math.abs(known.until - d.at) > MOVED_MS || known.reason !== d.reason)
+    ) {
+      known.change('deferred', d.at, d.reason, revision);
+      book.touched(d.id);
+    }
+  }
+}
+
+/** Whether a task of the job may ever have been started: then it is never deferred. */
+function hasBegun(job: Job): boolean {
+  return job.doneCount > 0 || job.placements.size > 0 || job.chunks.some((c) => c.attempts > 0);
+}
+
+/** Whether the state service says so. */
+function isRecorded(job: Job): boolean {
+  return job.chunks.some((c) => c.version !== ABSENT);
+}
+
+/** A room that makes deferrable work wait for cheaper or cleaner hours. */
+export function tariffRoom(options: TariffOptions): RoomFactory {
+  return (tenure, cluster) => new TariffRoom(tenure, cluster, options);
+}
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -13,6 +13,13 @@
   readonly attempt: Attempt;
   readonly machine: MachineId;
   readonly zone: string;
+  readonly sinceMs: number;
+}
+
+/** A task's time on a machine, from its start until it left. */
+export interface Run extends On {
+  readonly untilMs: number;
+  readonly done: boolean;
 }
 
 const EPSILON = 1e-6;
@@ -28,6 +35,8 @@
   private readonly doneTasks = new Map<JobId, Set<number>>();
   private readonly on = new Map<string, On>();
   starts = 0;
+  /** Told of every run that ends. */
+  onRun: ((run: Run) => void) | null = null;
 
   constructor(
     private readonly now: () => number,
@@ -44,7 +53,7 @@
     job: JobSpec,
     task: number,
     attempt: Attempt,
-    machine: Omit<On, 'job' | 'task' | 'attempt'> & { type: string; spot: boolean },
+    machine: Omit<On, 'job' | 'task' | 'attempt' | 'sinceMs'> & { type: string; spot: boolean },
   ): void {
     this.starts += 1;
     const name = `${job.id}/${task}`;
@@ -66,6 +75,7 @@
       attempt,
       machine: machine.machine,
       zone: machine.zone,
+      sinceMs: this.now(),
     });
     const team = this.teams.find((t) => t.name === job.team);
     let cpus = 0;
@@ -81,7 +91,10 @@
   }
 
   left(job: JobId, task: number, machine: MachineId, done: boolean): void {
-    this.on.delete(`${machine}:${job}/${task}`);
+    const name = `${machine}:${job}/${task}`;
+    const on = this.on.get(name);
+    if (on !== undefined) this.onRun?.({ ...on, untilMs: this.now(), done });
+    this.on.delete(name);
     if (!done) return;
     const tasks = this.doneTasks.get(job) ?? new Set();
     this.doneTasks.set(job, tasks.add(task));
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -5,3 +5,4 @@
 export * from './worker.js';
 export * from './world.js';
 export * from './fixtures.js';
+export * from './feed.js';
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -126,8 +126,14 @@
     return found.reverse();
   }
 
-  wait(prefix: string, after: number, wake: () => void): void {
-    this.waiters.push({ prefix, after, wake });
+  /** Wakes the caller once; given up after `mostMs`, or watches of a whole night would be held for good. */
+  wait(prefix: string, after: number, mostMs: number, wake: () => void): void {
+    const waiter = { prefix, after, wake };
+    this.waiters.push(waiter);
+    this.time.after(mostMs, () => {
+      this.waiters = this.waiters.filter((w) => w !== waiter);
+      wake();
+    });
   }
 
   peek(key: string): unknown {
@@ -281,8 +287,7 @@
     if (opened.outcome !== 'opened') return opened as WatchOutcome;
     if (!opened.ready)
       await new Promise<void>((resolve) => {
-        this.state.wait(prefix, after, resolve);
-        this.state.time.after(waitMs, resolve);
+        this.state.wait(prefix, after, waitMs, resolve);
       });
     return this.call(events);
   }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -1,6 +1,6 @@
 import type { Cloud, RentOutcome } from '@spurbridge/cloud';
 import { Controller } from '@spurbridge/controller';
-import type { DirectOutcome, Log, PeerLink, Settings, WorkerLink } from '@spurbridge/controller';
+import type { DirectOutcome, Log, PeerLink, RoomFactory, Settings, WorkerLink } from '@spurbridge/controller';
 import type { Team, WallMs } from '@spurbridge/model';
 import type {
   Attempt,
@@ -48,6 +48,14 @@
   readonly gangWaitS?: number;
   /** Requests and changes a second that the state service takes. */
   readonly stateLimits?: StateLimits;
+  /** What a node's program adds to its leader. */
+  readonly rooms?: (host: string, network: SimNetwork) => readonly RoomFactory[];
+  /** Time of day when the simulation begins, in milliseconds since 1970. */
+  readonly wallStart?: number;
+  /** Users ask after their accepted jobs this often, at least; by default every 1.5 s. */
+  readonly pollMs?: number;
+  /** How long a task really runs; by default 0.6 to 1.4 times its estimate. */
+  readonly runMs?: (job: JobSpec, task: number) => number;
 }
 
 const AMPLE: StateLimits = { rps: 1000, writeRps: 1000, valueKb: 16, txnOps: 12 };
@@ -89,6 +97,10 @@
     }
   }
 
+  get wallStart(): number {
+    return this.o.wallStart ?? 1_700_000_000_000;
+  }
+
   random(below: number): number {
     return below <= 0 ? 0 : uniformInt(this.generator, 0, below - 1);
   }
@@ -128,9 +140,10 @@
       cloud: this.cloudFor(name),
       workers: this.linkFor(name),
       clock,
-      wallNow: () => (1_700_000_000_000 + this.time.now + this.random(20)) as WallMs,
+      wallNow: () => (this.wallStart + this.time.now + this.random(20)) as WallMs,
       log: this.o.log ?? silent,
       incarnation: `${name}-${this.incarnations}`,
+      rooms: this.o.rooms?.(name, this.network) ?? [],
       link: (status, receive) => this.peersOf(name, clock, status, receive),
     });
     void controller.run();
@@ -265,7 +278,7 @@
       leaseMs: this.o.leaseS * 1000,
       random: (below) => this.random(below),
       job: (id) => this.checker.submitted.get(id),
-      runMs: (job, task) => job.estimateS * (600 + ((task * 7919) % 800)),
+      runMs: this.o.runMs ?? ((job, task) => job.estimateS * (600 + ((task * 7919) % 800))),
       gangWaitMs: (this.o.gangWaitS ?? GANG_WAIT_S) * 1000,
       gangPeerMs: GANG_PEER_S * 1000,
       mates: (job, attempt) => this.mates(job, attempt),
@@ -382,7 +395,8 @@
           });
         });
       }
-      this.time.after(1500 + this.random(3000), ask);
+      const leastMs = accepted ? (this.o.pollMs ?? 1500) : 1500;
+      this.time.after(leastMs + this.random(2 * leastMs), ask);
     };
     ask();
   }
--- a/packages/wire/src/read.ts
+++ b/packages/wire/src/read.ts
@@ -2,10 +2,15 @@
 export class MalformedError extends Error {
   constructor(
     readonly field: string,
-    expected: string,
+    private readonly expected: string,
   ) {
     super(`${field}: expected ${expected}`);
   }
+
+  /** The same, with the path of what holds the field. */
+  within(path: string): MalformedError {
+    return new MalformedError(this.field === 'entry' ? path : `${path}.${this.field}`, this.expected);
+  }
 }
 
 export type Fields = Readonly<Record<string, unknown>>;
