--- /dev/null
+++ b/packages/measure/src/main.ts
@@ -0,0 +1,49 @@
+import { Command } from 'commander';
+import { measureTariff, tariffPart } from './tariff.js';
+import type { Pair } from './tariff.js';
+
+interface Measurement {
+  readonly what: string;
+  readonly all: (say: (line: string) => void) => Promise<unknown>;
+  readonly part: (part: unknown) => Promise<unknown>;
+}
+
+const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  tariff: {
+    what: 'nights with and without deferral in the simulated world',
+    all: measureTariff,
+    part: (p) => tariffPart(p as Pair),
+  },
+};
+
+new Command('measure')
+  .description('Measures one thing; the last line is one JSON object. Progress goes to standard error.')
+  .argument(
+    '<name>',
+    Object.entries(MEASUREMENTS)
+      .map(([name, m]) => `${name}: ${m.what}`)
+      .join('; '),
+  )
+  .option('--part <json>', 'one part of it, as the measurement itself calls it')
+  .action(async (name: string, options: { part?: string }, command: Command) => {
+    const m = MEASUREMENTS[name];
+    if (m === undefined) {
+      command.error(
+        `measure: no measurement is called ${name}; there are: ${Object.keys(MEASUREMENTS).join(', ')}`,
+        {
+          exitCode: 2,
+        },
+      );
+      return;
+    }
+    const result =
+      options.part === undefined
+        ? await m.all((line) => process.stderr.write(`${line}\n`))
+        : await m.part(JSON.parse(options.part));
+    process.stdout.write(`${JSON.stringify(result)}\n`);
+  })
+  .parseAsync()
+  .catch((e: unknown) => {
+    process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
+    process.exitCode = 1;
+  });
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -288,7 +288,8 @@
 
   /** What stands ahead of the deferred work: CPUs in use for good, and CPU seconds still to be done. */
   private observe(): { team: Map<string, number>; pool: number } {
-    const steady = new Map<string, number>();
+    const services = new Map<string, number>();
+    const urgent = new Map<string, number>();
     const ahead = new Map<string, number>();
     let pool = 0;
     const types = this.tenure.c.types();
@@ -298,21 +299,22 @@
       if (s === 'new' || s === 'waiting') continue;
       const { spec } = job;
       const cpus = effectiveCpus(spec, types);
-      if (spec.kind === 'service') steady.set(spec.team, (steady.get(spec.team) ?? 0) + cpus * spec.tasks);
+      if (spec.kind === 'service')
+        services.set(spec.team, (services.get(spec.team) ?? 0) + cpus * spec.tasks);
       else {
         const work =
           cpus * (spec.tasks - job.doneCount) * this.keeper.runTimes(spec.class).meanS(spec.estimateS);
         ahead.set(spec.team, (ahead.get(spec.team) ?? 0) + work);
         pool += work;
-        // A stream of urgent work is there in the next minute, too.
+        // Of a stream of urgent work there will be as much in an hour.
         if (spec.deadlineS === null || spec.priority === 'production' || spec.priority === 'high')
-          steady.set(spec.team, (steady.get(spec.team) ?? 0) + cpus * job.placements.size);
+          urgent.set(spec.team, (urgent.get(spec.team) ?? 0) + cpus * job.placements.size);
       }
     }
     let cpus = 0;
     for (const m of this.cluster.machines.values())
       if (m.takesTasks) cpus += this.cluster.type(m.type)?.cpus ?? 0;
-    this.keeper.capacity.observe(this.tenure.c.clock.now(), cpus, steady);
+    this.keeper.capacity.observe(this.tenure.c.clock.now(), cpus, services, urgent);
     return { team: ahead, pool };
   }
 
@@ -386,6 +388,7 @@
     if (d.at <= now) {
       if (known === undefined) {
         this.standing.set(d.id, 'joined');
+        log.debug({ job: d.id, reason: d.reason }, 'job not deferred');
         this.cluster.emit('plan');
         return;
       }
--- /dev/null
+++ b/packages/tariff/test/deferral.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { WallMs } from '@spurbridge/model';
+import type { JobId, Version } from '@spurbridge/wire';
+import fc from 'fast-check';
+import type { DeferralState } from '../src/index.js';
+import { Deferral, DeferralBook, pageKey } from '../src/index.js';
+
+function deferral(n: number): Deferral {
+  return new Deferral(
+    `wk-${String(n).padStart(64, '0')}` as JobId,
+    1e12 as WallMs,
+    2e12 as WallMs,
+    'no-saving',
+    99,
+  );
+}
+
+test('a deferral ends once, and never begins anew', () => {
+  for (const end of ['released', 'forced'] as const) {
+    const d = deferral(1);
+    d.change('deferred', 3 as WallMs, 'blind', 2);
+    assert.deepEqual([d.state, d.until, d.reason, d.revision], ['deferred', 3, 'blind', 2]);
+    d.change(end, 4 as WallMs, 'latest', 3);
+    for (const next of ['deferred', 'released', 'forced'] as const)
+      assert.throws(() => {
+        d.change(next, 5 as WallMs, 'cheaper', 4);
+      });
+    assert.equal(d.state, end);
+  }
+});
+
+type Model = Map<string, DeferralState>;
+
+class Step implements fc.Command<Model, { book: DeferralBook; kept: Map<string, unknown> }> {
+  constructor(
+    private readonly kind: 'add' | 'release' | 'remove' | 'flush' | 'takeover',
+    private readonly n: number,
+  ) {}
+  check = (): boolean => true;
+  toString = (): string => `${this.kind}(${this.n})`;
+  run(model: Model, real: { book: DeferralBook; kept: Map<string, unknown> }): void {
+    const d = deferral(this.n);
+    const id = d.job;
+    if (this.kind === 'add' && !model.has(id)) {
+      real.book.add(d);
+      model.set(id, 'deferred');
+    } else if (this.kind === 'release' && model.get(id) === 'deferred') {
+      real.book.get(id)?.change('released', 5 as WallMs, 'cheapest', 1);
+      real.book.touched(id);
+      model.set(id, 'released');
+    } else if (this.kind === 'remove') {
+      real.book.remove(id);
+      model.delete(id);
+    }
+    if (this.kind === 'flush' || this.kind === 'takeover')
+      for (const page of real.book.pages) {
+        if (page.edition === page.written) continue;
+        const value = real.book.encode(page);
+        assert.ok(JSON.stringify(value).length <= 1024, 'larger than a value may be');
+        real.kept.set(pageKey(page.index), JSON.parse(JSON.stringify(value)));
+        page.written = page.edition;
+      }
+    if (this.kind === 'takeover') {
+      real.book = new DeferralBook(1);
+      for (const [key, value] of real.kept) real.book.restore(Number(key.slice(2)), value, 7 as Version);
+    }
+    const known = new Map([...real.book.all()].map((x) => [x.job as string, x.state]));
+    assert.deepEqual(known, new Map([...known.keys()].map((k) => [k, model.get(k)])));
+    assert.equal(known.size, model.size);
+    if (this.kind === 'flush') for (const k of model.keys()) assert.ok(real.book.isDurable(k as JobId));
+  }
+}
+
+test('the book is what a plain list says, over many pages, writes and takeovers', () => {
+  const kinds = ['add', 'add', 'release', 'remove', 'flush', 'takeover'] as const;
+  const step = fc.tuple(fc.constantFrom(...kinds), fc.nat({ max: 25 })).map(([k, n]) => new Step(k, n));
+  fc.assert(
+    fc.property(fc.commands([step], { maxCommands: 80 }), (commands) => {
+      fc.modelRun(
+        () => ({ model: new Map(), real: { book: new DeferralBook(1), kept: new Map() } }),
+        commands,
+      );
+    }),
+    { numRuns: 200, seed: 4 },
+  );
+});
