--- a/packages/measure/src/optimum.ts
+++ b/packages/measure/src/optimum.ts
@@ -84,6 +84,7 @@
   for (let at = 0; at < SLOTS * SLOT_S * 2; at += stepS) {
     const known = n.jobs.filter((j) => j.arrives <= at && waiting.has(j.id));
     const ahead = running.reduce((sum, r) => sum + r.left, 0);
+    const wanted = running.reduce((sum, r) => sum + r.job.cpus, 0);
     const made = decideReleases({
       now: (at * 1000) as WallMs,
       jobs: known.map((j): WaitingJob => ({
@@ -99,8 +100,8 @@
         finishBy: (j.due * 1000) as WallMs,
         startBy: null,
       })),
-      teams: [{ cpus: CPUS, ahead }],
-      pool: { cpus: CPUS, ahead },
+      teams: [{ cpus: CPUS, ahead, wanted }],
+      pool: { cpus: CPUS, ahead, wanted },
       starts: n.prices.map((_, i) => (i * SLOT_S * 1000) as WallMs),
       until: (SLOTS * SLOT_S * 1000) as WallMs,
       prices: [Float64Array.from(n.prices)],
@@ -150,8 +151,8 @@
         startBy: null,
       };
     }),
-    teams: Array.from({ length: 4 }, () => ({ cpus: 800, ahead: 50_000 })),
-    pool: { cpus: 2500, ahead: 200_000 },
+    teams: Array.from({ length: 4 }, () => ({ cpus: 800, ahead: 50_000, wanted: 700 })),
+    pool: { cpus: 2500, ahead: 200_000, wanted: 2400 },
     starts,
     until: 43_200_000 as WallMs,
     prices: Array.from({ length: 4 }, () => Float64Array.from(starts, () => 1 + below(10))),
--- a/packages/tariff/src/release.ts
+++ b/packages/tariff/src/release.ts
@@ -24,10 +24,13 @@
   readonly startBy: WallMs | null;
 }
 
-/** CPUs that deferred work can count on, and what is ahead of it there, in CPU seconds. */
+/** CPUs that deferred work can count on, and what is ahead of it there. */
 export interface Capacity {
   readonly cpus: number;
+  /** CPU seconds still to be done. */
   readonly ahead: number;
+  /** CPUs that it would take if all of its tasks ran now. */
+  readonly wanted: number;
 }
 
 export interface ReleaseInput {
@@ -71,6 +74,8 @@
 const MOST_PIECES = 160;
 const LEAST_PIECE_MS = 15_000;
 const EPSILON = 1e-6;
+/** A job whose turn has come is asked about again this much later while what is released takes all room. */
+const PACE_MS = 1000;
 
 interface Grid {
   readonly starts: Float64Array;
@@ -140,6 +145,8 @@
   private readonly teams: Float64Array[];
   private readonly prices: Float64Array[];
   private readonly order: Int32Array[];
+  /** CPUs wanted by what has joined the order: of each team, and at the end of all. */
+  private readonly wanted: Float64Array;
   readonly blind: boolean;
   /** The result of the last `cost` call that found a place. */
   private endsAt = 0;
@@ -153,6 +160,7 @@
     const { prices, blind } = pricesOnGrid(input, this.grid);
     this.prices = prices;
     this.blind = blind;
+    this.wanted = Float64Array.from([...input.teams, input.pool], (c) => c.wanted);
     // Cheapest first, and of equal ones the earliest; with no price known, the latest.
     this.order = prices.map((p) =>
       Int32Array.from(p.keys()).sort((a, b) =>
@@ -215,6 +223,21 @@
     return b;
   }
 
+  /** Whether what has joined already takes all that there is for the job: of its team, or of all. */
+  private isCrowded(job: WaitingJob): boolean {
+    const { teams, pool } = this.input;
+    const exceeds = (i: number, cpus: number): boolean => {
+      const wanted = this.wanted[i] as number;
+      return wanted > 0 && wanted + job.cpus > cpus;
+    };
+    return exceeds(job.team, teams[job.team]?.cpus ?? 0) || exceeds(teams.length, pool.cpus);
+  }
+
+  private join(job: WaitingJob): void {
+    for (const i of [job.team, this.input.teams.length])
+      this.wanted[i] = (this.wanted[i] as number) + job.cpus;
+  }
+
   decide(job: WaitingJob): Decision {
     const { now, leastSaving } = this.input;
     const first = this.soonest(job);
@@ -243,7 +266,10 @@
         best = b;
       } else if (cost === Infinity) cheaperTooLate = true;
     }
-    if (best < 0) return { id: job.id, at: now, reason: 'no-room', ratio: 1 };
+    if (best < 0) {
+      this.join(job);
+      return { id: job.id, at: now, reason: 'no-room', ratio: 1 };
+    }
     const ratio = costNow === Infinity || costNow === 0 ? 1 : bestCost / costNow;
     // Those that wait are let go as room comes free. Once the rest of the wait was short enough to save
     // little, hundreds were released together, and the ones with little time left stood behind the others.
@@ -257,7 +283,12 @@
     if (at <= now || !worth) {
       // What was found is safe, and so is now where there is room now; the room goes to whichever it is.
       const chosen = at <= now || costNow === Infinity ? best : first;
+      // Released all at once, a window's jobs filled the fleet to the last place, and urgent work waited.
+      const soon = this.runsFrom(job, chosen) + PACE_MS;
+      const paced = job.deferred && this.isCrowded(job) && this.cost(job, chosen, soon, false) < Infinity;
       this.cost(job, chosen, this.runsFrom(job, chosen), true);
+      if (paced) return { id: job.id, at: (now + PACE_MS) as WallMs, reason: 'cheaper', ratio };
+      this.join(job);
       const reason = at > now ? 'no-saving' : cheaperTooLate ? 'latest' : 'cheapest';
       return { id: job.id, at: now, reason, ratio: chosen === best ? ratio : 1 };
     }
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -61,6 +61,12 @@
 /** A gang needs all its places at once: one wider than this share of what is there is not deferred. */
 const GANG_SHARE = 0.5;
 
+/** What has joined the order and is not done: CPU seconds, and CPUs if all of it ran now. */
+interface Ahead {
+  readonly team: ReadonlyMap<string, { readonly work: number; readonly wanted: number }>;
+  readonly pool: { readonly work: number; readonly wanted: number };
+}
+
 /** Where a job that has not started stands: only `joined` ones take part in the order. */
 type Standing = 'new' | 'waiting' | 'joined';
 
@@ -287,11 +293,11 @@
   }
 
   /** What stands ahead of the deferred work: CPUs in use for good, and CPU seconds still to be done. */
-  private observe(): { team: Map<string, number>; pool: number } {
+  private observe(): Ahead {
     const services = new Map<string, number>();
     const urgent = new Map<string, number>();
-    const ahead = new Map<string, number>();
-    let pool = 0;
+    const team = new Map<string, { work: number; wanted: number }>();
+    const pool = { work: 0, wanted: 0 };
     const types = this.tenure.c.types();
     for (const job of this.cluster.jobs.values()) {
       if (job.state !== 'active') continue;
@@ -302,10 +308,14 @@
       if (spec.kind === 'service')
         services.set(spec.team, (services.get(spec.team) ?? 0) + cpus * spec.tasks);
       else {
-        const work =
-          cpus * (spec.tasks - job.doneCount) * this.keeper.runTimes(spec.class).meanS(spec.estimateS);
-        ahead.set(spec.team, (ahead.get(spec.team) ?? 0) + work);
-        pool += work;
+        const left = spec.tasks - job.doneCount;
+        const work = cpus * left * this.keeper.runTimes(spec.class).meanS(spec.estimateS);
+        const of = team.get(spec.team) ?? { work: 0, wanted: 0 };
+        team.set(spec.team, of);
+        for (const x of [of, pool]) {
+          x.work += work;
+          x.wanted += cpus * left;
+        }
         // Of a stream of urgent work there will be as much in an hour.
         if (spec.deadlineS === null || spec.priority === 'production' || spec.priority === 'high')
           urgent.set(spec.team, (urgent.get(spec.team) ?? 0) + cpus * job.placements.size);
@@ -315,7 +325,7 @@
     for (const m of this.cluster.machines.values())
       if (m.takesTasks) cpus += this.cluster.type(m.type)?.cpus ?? 0;
     this.keeper.capacity.observe(this.tenure.c.clock.now(), cpus, services, urgent);
-    return { team: ahead, pool };
+    return { team, pool };
   }
 
   /**
@@ -368,11 +378,15 @@
     const input: ReleaseInput = {
       now,
       jobs,
-      teams: teams.map((t): Capacity => ({
-        cpus: this.keeper.capacity.of(t),
-        ahead: ahead.team.get(t.name) ?? 0,
-      })),
-      pool: { cpus: this.keeper.capacity.pool, ahead: ahead.pool },
+      teams: teams.map((t): Capacity => {
+        const before = ahead.team.get(t.name);
+        return {
+          cpus: this.keeper.capacity.of(t),
+          ahead: before?.work ?? 0,
+          wanted: before?.wanted ?? 0,
+        };
+      }),
+      pool: { cpus: this.keeper.capacity.pool, ahead: ahead.pool.work, wanted: ahead.pool.wanted },
       starts: costs.starts,
       until: costs.until,
       prices: costs.cost,
--- a/packages/tariff/test/release.test.ts
+++ b/packages/tariff/test/release.test.ts
@@ -33,8 +33,8 @@
   return {
     now: 0 as WallMs,
     jobs,
-    teams: [{ cpus: 100, ahead: 0 }],
-    pool: { cpus: 100, ahead: 0 },
+    teams: [{ cpus: 100, ahead: 0, wanted: 0 }],
+    pool: { cpus: 100, ahead: 0, wanted: 0 },
     // One piece for every ten minutes.
     starts: prices.map((_, i) => (i * 10 * MIN) as WallMs),
     until: (prices.length * 10 * MIN) as WallMs,
@@ -67,14 +67,14 @@
   assert.equal(margin.at, 0);
   assert.equal(only(input([job(1)], [3, 3, 2.9, 2.9])).reason, 'no-saving');
   assert.equal(only(input([job(1)], [1, 1, 3, 3])).reason, 'cheapest');
-  const none = only(input([job(1)], CHEAP_AT_30, { pool: { cpus: 0, ahead: 0 } }));
+  const none = only(input([job(1)], CHEAP_AT_30, { pool: { cpus: 0, ahead: 0, wanted: 0 } }));
   assert.deepEqual([none.at, none.reason], [0, 'no-room']);
 });
 
 test('what fills the window sends the others elsewhere, those with least time first', () => {
   // The window carries 20 minutes of 4 CPUs: 40 jobs.
   const jobs = Array.from({ length: 60 }, (_, i) => job(i, { finishBy: ((50 + i / 10) * MIN) as WallMs }));
-  const few = { teams: [{ cpus: 4, ahead: 0 }], pool: { cpus: 100, ahead: 0 } };
+  const few = { teams: [{ cpus: 4, ahead: 0, wanted: 0 }], pool: { cpus: 100, ahead: 0, wanted: 0 } };
   const made = decideReleases(input(jobs, CHEAP_AT_30, few));
   const inWindow = made.filter((d) => d.at >= 30 * MIN && d.at < 50 * MIN);
   assert.ok(inWindow.length >= 38 && inWindow.length <= 41, `${inWindow.length}`);
@@ -84,12 +84,12 @@
 });
 
 test("a team's quota full of other work leaves no room to count on", () => {
-  const busy = { teams: [{ cpus: 4, ahead: 4 * 3000 }], pool: { cpus: 100, ahead: 0 } };
+  const busy = { teams: [{ cpus: 4, ahead: 4 * 3000, wanted: 0 }], pool: { cpus: 100, ahead: 0, wanted: 0 } };
   const d = only(input([job(1, { finishBy: (45 * MIN) as WallMs })], CHEAP_AT_30, busy));
   assert.deepEqual([d.at, d.reason], [0, 'no-room']);
   // Less of it ends while the window is still open: one that waits for it goes on waiting, and for a new one
   // there is nothing to gain, since it would stand behind the others anyway.
-  const less = { teams: [{ cpus: 4, ahead: 4 * 2000 }] };
+  const less = { teams: [{ cpus: 4, ahead: 4 * 2000, wanted: 0 }] };
   const d2 = only(input([job(1, { deferred: true })], CHEAP_AT_30, less));
   assert.ok(d2.at >= 33 * MIN && d2.at < 50 * MIN, `${d2.at / MIN}`);
   assert.equal(only(input([job(1)], CHEAP_AT_30, less)).reason, 'no-saving');
@@ -142,10 +142,10 @@
       {
         prices: [Float64Array.from(a), Float64Array.from(b)],
         teams: [
-          { cpus: cpus[0], ahead },
-          { cpus: cpus[1], ahead: 0 },
+          { cpus: cpus[0], ahead, wanted: 0 },
+          { cpus: cpus[1], ahead: 0, wanted: 0 },
         ],
-        pool: { cpus: cpus[2], ahead },
+        pool: { cpus: cpus[2], ahead, wanted: 0 },
       },
     ),
   );
