New deferrable jobs stand behind those that wait; what is no news is not written down

Cause: of 40 small nights one job of 560 came late: jobs that arrived in the window and had nothing to gain by waiting joined at once, before deferred ones with less time left. Now they are let go in turn, too, while others wait. Changes of the expected moment by seconds are not recorded: they took the changes of the state service that starts need.

--- a/packages/measure/src/night.ts
+++ b/packages/measure/src/night.ts
@@ -152,7 +152,7 @@
       null,
     );
   }
-  for (let at = 5000; at < NIGHT_MS - 600_000; at += 20_000 + w.random(20_000))
+  for (let at = 5000; at < NIGHT_MS - 600_000; at += 5000 + w.random(5000))
     submit(
       at,
       jobSpec({
--- a/packages/measure/src/tariff.ts
+++ b/packages/measure/src/tariff.ts
@@ -45,6 +45,10 @@
       of.flatMap((r) => r.urgentWaitsS),
       q,
     );
+  const over = (of: readonly NightResult[], s: number): number => {
+    const all = of.flatMap((r) => r.urgentWaitsS);
+    return all.filter((x) => x > s).length / all.length;
+  };
   const ratios: number[] = [];
   let lateSmall = 0;
   for (let seed = 1; seed <= SMALL_NIGHTS; seed += 1) {
@@ -71,6 +75,7 @@
     urgentWaitRatio: waits(on, 0.99) / waits(off, 0.99),
     urgentWaitP99S: { on: waits(on, 0.99), off: waits(off, 0.99) },
     urgentWaitP50S: { on: waits(on, 0.5), off: waits(off, 0.5) },
+    urgentOver2S: { on: over(on, 2), off: over(off, 2), of: sum(on.map((r) => r.urgentWaitsS.length)) },
     brokenRules: sum(results.map((r) => r.broken)),
     decisionMsFor10000: decisionMs(10_000),
   };
--- a/packages/tariff/src/deferral.ts
+++ b/packages/tariff/src/deferral.ts
@@ -17,7 +17,7 @@
 });
 
 const STATES: readonly DeferralState[] = ['deferred', 'released', 'forced'];
-const REASONS = ['cheaper', 'blind', 'cheapest', 'no-saving', 'latest', 'no-room'] as const;
+const REASONS = ['cheaper', 'turn', 'blind', 'cheapest', 'no-saving', 'latest', 'no-room'] as const;
 
 /** Why and until when a job is kept out of the order. */
 export class Deferral {
--- a/packages/tariff/src/release.ts
+++ b/packages/tariff/src/release.ts
@@ -51,6 +51,8 @@
 export type ReleaseReason =
   /** A cheaper moment is safe. */
   | 'cheaper'
+  /** Its time has come, but what joined before takes all room, and a moment later is safe, too. */
+  | 'turn'
   /** Nothing is known of prices: it waits for news as long as that is safe. */
   | 'blind'
   /** The cheapest safe moment is now. */
@@ -148,6 +150,7 @@
   /** CPUs wanted by what has joined the order: of each team, and at the end of all. */
   private readonly wanted: Float64Array;
   readonly blind: boolean;
+  private readonly othersWait: boolean;
   /** The result of the last `cost` call that found a place. */
   private endsAt = 0;
 
@@ -160,6 +163,7 @@
     const { prices, blind } = pricesOnGrid(input, this.grid);
     this.prices = prices;
     this.blind = blind;
+    this.othersWait = input.jobs.some((j) => j.deferred);
     this.wanted = Float64Array.from([...input.teams, input.pool], (c) => c.wanted);
     // Cheapest first, and of equal ones the earliest; with no price known, the latest.
     this.order = prices.map((p) =>
@@ -285,9 +289,13 @@
       const chosen = at <= now || costNow === Infinity ? best : first;
       // Released all at once, a window's jobs filled the fleet to the last place, and urgent work waited.
       const soon = this.runsFrom(job, chosen) + PACE_MS;
-      const paced = job.deferred && this.isCrowded(job) && this.cost(job, chosen, soon, false) < Infinity;
+      // New ones stand behind those that wait: joined at once, they took the room of some with less time left.
+      const paced =
+        (job.deferred || this.othersWait) &&
+        this.isCrowded(job) &&
+        this.cost(job, chosen, soon, false) < Infinity;
       this.cost(job, chosen, this.runsFrom(job, chosen), true);
-      if (paced) return { id: job.id, at: (now + PACE_MS) as WallMs, reason: 'cheaper', ratio };
+      if (paced) return { id: job.id, at: (now + PACE_MS) as WallMs, reason: 'turn', ratio };
       this.join(job);
       const reason = at > now ? 'no-saving' : cheaperTooLate ? 'latest' : 'cheapest';
       return { id: job.id, at: now, reason, ratio: chosen === best ? ratio : 1 };
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -418,16 +418,22 @@
       book.add(new Deferral(d.id, now, d.at, d.reason, revision));
       this.standing.set(d.id, 'waiting');
       log.debug({ job: d.id, until: d.at, reason: d.reason, ratio: d.ratio, revision }, 'job deferred');
-    } else if (
-      known.state === 'deferred' &&
-      (Math.abs(known.until - d.at) > MOVED_MS || known.reason !== d.reason)
-    ) {
+    } else if (known.state === 'deferred' && isNews(known, d)) {
       known.change('deferred', d.at, d.reason, revision);
       book.touched(d.id);
     }
   }
 }
 
+/**
+ * Whether a wait has become another one. Hundreds whose turn comes nearer by seconds are none: written down
+ * each time, they took the changes that urgent starts needed.
+ */
+function isNews(known: Deferral, d: Decision): boolean {
+  if (Math.abs(known.until - d.at) > MOVED_MS) return true;
+  return known.reason !== d.reason && d.reason !== 'turn' && known.reason !== 'turn';
+}
+
 /** Whether a task of the job may ever have been started: then it is never deferred. */
 function hasBegun(job: Job): boolean {
   return job.doneCount > 0 || job.placements.size > 0 || job.chunks.some((c) => c.attempts > 0);
--- a/packages/tariff/test/release.test.ts
+++ b/packages/tariff/test/release.test.ts
@@ -95,6 +95,22 @@
   assert.equal(only(input([job(1)], CHEAP_AT_30, less)).reason, 'no-saving');
 });
 
+test('jobs whose turn has come join one after the other, and new ones behind those that wait', () => {
+  const crowd = { cpus: 8, ahead: 100, wanted: 6 };
+  const i = input([job(1, { deferred: true, finishBy: (5 * MIN) as WallMs }), job(2)], [1, 1, 1], {
+    teams: [crowd],
+  });
+  for (const d of decideReleases(i)) assert.deepEqual([d.at, d.reason], [1000, 'turn']);
+  // With nobody waiting there is nobody to stand behind.
+  assert.equal(only({ ...i, jobs: [job(2)] }).at, 0);
+  // With no second to spare it goes, crowded or not.
+  const hurried = job(1, { deferred: true, taskS: 30, work: 4, finishBy: 30_500 as WallMs });
+  const d = only({ ...i, jobs: [hurried] });
+  assert.equal(d.at, 0);
+  // As soon as there is room, so does the next.
+  assert.equal(only({ ...i, teams: [{ ...crowd, wanted: 4 }] }).at, 0);
+});
+
 test('with no price known at all it waits as long as that is safe, and what is unknown is not thought cheap', () => {
   const blind = only(input([job(1)], [NaN, NaN, NaN, NaN, NaN, NaN]));
   assert.equal(blind.reason, 'blind');
