--- a/packages/daemon/src/main-tariff.ts
+++ b/packages/daemon/src/main-tariff.ts
@@ -63,6 +63,11 @@
     .addOption(number('tariff-spare-runs', 'lost runs of a task to be safe against', d.spareRuns, 0, 10));
 }
 
+/** An empty variable is one that is not set. */
+function stated(text: string | undefined): string | null {
+  return text === undefined || text === '' ? null : text;
+}
+
 function readTariff(path: string): TariffDocument {
   try {
     const t = parseTariff(parse(readFileSync(path, 'utf8')));
@@ -84,15 +89,20 @@
   flags,
   rooms: (given) => {
     const f = given as unknown as TariffFlags;
-    if (f.tariff === undefined && f.tariffFeed === undefined)
+    const file = stated(f.tariff);
+    const url = stated(f.tariffFeed);
+    if (file === null && url === null)
       throw new SettingsError('--tariff or --tariff-feed: expected one of them');
-    const classes = f.tariffClasses?.split(',').map((c) => c.trim()) ?? null;
+    const classes =
+      stated(f.tariffClasses)
+        ?.split(',')
+        .map((c) => c.trim()) ?? null;
     if (classes?.includes('') === true)
       throw new SettingsError('--tariff-classes: expected names, separated by commas');
     return [
       tariffRoom({
-        document: f.tariff === undefined ? null : readTariff(f.tariff),
-        feed: f.tariffFeed === undefined ? null : feedOf(f.tariffFeed, f.tariffSilentS),
+        document: file === null ? null : readTariff(file),
+        feed: url === null ? null : feedOf(url, f.tariffSilentS),
         carbonShare: f.tariffCarbon,
         patternS: f.tariffPatternH * 3600,
         leastSaving: f.tariffSaving,
