Whatever fails in deferring, the leader goes on without it; releases are recorded like starts

Need: a fault in the feed, the records or the decision ended the leader's loops and with them its leadership. Now that leader defers nothing any more and says so; a test brings it about. Releases are written with the urgency of a start: behind what was learned they could wait for changes that a busy state service lacks.

--- a/packages/tariff/src/keeper.ts
+++ b/packages/tariff/src/keeper.ts
@@ -13,8 +13,9 @@
 const CAPACITY = `${PREFIX}capacity`;
 const PART = `${PREFIX}part/`;
 const CLASS = `${PREFIX}class/`;
-/** Least urgent: nothing that is kept here is needed for a rule. */
+/** What was learned can wait; a release is the start of work. */
 const URGENCY = 2;
+const RELEASE_URGENCY = 1;
 const MOST_COMMIT_BYTES = 48 * 1024;
 const MOST_KEY_BYTES = 200;
 const RETRY_MS = 300;
@@ -177,7 +178,7 @@
     const outcome = await store.commit(
       conditions,
       due.map((d) => d.change),
-      URGENCY,
+      RELEASE_URGENCY,
     );
     if (!this.tenure.active) return false;
     if (outcome.outcome === 'committed')
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -83,6 +83,7 @@
   private readonly feed: FeedClient | null;
   private nextAt: WallMs | null = null;
   private restoredAt: Ms | null = null;
+  private failed = false;
 
   constructor(
     private readonly tenure: Tenure,
@@ -148,14 +149,34 @@
   }
 
   async run(): Promise<void> {
+    const feed = this.feed;
     await Promise.all([
-      this.decideLoop(),
-      this.learnLoop(),
-      this.feed?.run(() => this.tenure.active) ?? Promise.resolve(),
+      this.guarded(() => this.decideLoop()),
+      this.guarded(() => this.learnLoop()),
+      feed === null ? null : this.guarded(() => feed.run(() => this.tenure.active)),
     ]);
   }
 
+  /** Deferring is a favour to the bill: should any of it fail, the leader goes on without. */
+  private async guarded(loop: () => Promise<void>): Promise<void> {
+    try {
+      await loop();
+    } catch (e) {
+      this.fail(e);
+    }
+  }
+
+  private fail(e: unknown): void {
+    this.failed = true;
+    this.tenure.c.log.error(
+      { error: e instanceof Error ? (e.stack ?? e.message) : String(e) },
+      'deferring failed: this leader defers nothing any more',
+    );
+    this.cluster.emit('plan');
+  }
+
   hasJoined(job: Job): boolean {
+    if (this.failed) return true;
     const s = this.standing.get(job.spec.id);
     return s === undefined || s === 'joined';
   }
@@ -171,7 +192,7 @@
 
   private async decideLoop(): Promise<void> {
     const { clock, leadership } = this.tenure.c;
-    while (this.tenure.active) {
+    while (this.tenure.active && !this.failed) {
       const dueMs = this.nextAt === null ? USUAL_GAP_MS : this.nextAt - this.wall();
       await this.signal.wait(clock, Math.max(LEAST_GAP_MS, Math.min(USUAL_GAP_MS, dueMs)));
       if (!this.tenure.active) return;
@@ -328,21 +349,12 @@
     return { team, pool };
   }
 
-  /**
-   * Deferring is a favour to the bill: should it fail, the leader goes on, and what waits is released. A
-   * time that the calendar refused once deposed one leader after the other.
-   */
+  /** A time that the calendar refused once deposed one leader after the other. */
   private decide(): void {
     try {
       this.decideAll();
     } catch (e) {
-      this.tenure.c.log.error(
-        { error: e instanceof Error ? (e.stack ?? e.message) : String(e) },
-        'deferring failed: all that waits is released',
-      );
-      const now = this.wall();
-      for (const [id, s] of this.standing)
-        if (s !== 'joined') this.carryOut({ id, at: now, reason: 'no-room', ratio: 1 }, now, 0);
+      this.fail(e);
     }
   }
 
--- a/packages/tariff/test/room.test.ts
+++ b/packages/tariff/test/room.test.ts
@@ -325,3 +325,31 @@
     assert.ok(n.seen.every((x) => x.what !== 'leader failed' && !x.what.startsWith('deferring failed')));
   }
 });
+
+// A time that the calendar refused deposed one leader after the other.
+test('whatever fails in deferring, the leader goes on and everything runs', async () => {
+  const n = night({ carbonShare: 0 });
+  n.feed.publish(tariff(1, 300, 700));
+  const before = n.submit(1, 60);
+  const after = n.submit(2, 150);
+  await n.w.run(100_000);
+  assert.equal(n.book().get(before), 'deferred');
+  const token = n.w.nodes[leader(n.w)]?.controller.leadership.token;
+  // An answer that no feed should give: it fails where no field can be named.
+  n.feed.publishRaw(
+    new Proxy(
+      {},
+      {
+        get: () => {
+          throw new RangeError('unforeseen');
+        },
+        ownKeys: () => [],
+      },
+    ),
+  );
+  await n.w.run(400_000);
+  for (const id of [before, after]) between(n.startedAt.get(id), 100, 180, id);
+  assert.equal(n.w.nodes[leader(n.w)]?.controller.leadership.token, token);
+  assert.ok(n.seen.some((x) => x.what.startsWith('deferring failed')));
+  assert.deepEqual(n.w.checker.broken, []);
+});
--- a/packages/testkit/src/feed.ts
+++ b/packages/testkit/src/feed.ts
@@ -46,6 +46,6 @@
       this.unchanged += 1;
       return { outcome: 'unchanged' };
     }
-    return { outcome: 'document', body: structuredClone(this.body), tag: current };
+    return { outcome: 'document', body: this.body, tag: current };
   }
 }
