--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -20,8 +20,10 @@
   changed: [job: Job];
   /** A task is to be started: durable first. */
   placed: [job: Job, task: number];
-  /** A task is proven to be off its machine, and done or not; the placement as it was. */
-  off: [job: Job, placement: Placement, done: boolean];
+  /** A task is proven to be off its machine, done or not, and why; the placement as it was. */
+  off: [job: Job, placement: Placement, done: boolean, why: string];
+  /** A task of a job was given up. */
+  abandoned: [job: Job, task: number];
   /** All tasks are done, or the job is cancelled. */
   ended: [job: Job];
   /** The job is over and nothing refers to it any more. */
@@ -78,7 +80,7 @@
       // What is over needs no memory here: its users are answered from the record.
       if (record.phase === 'done') return null;
       const submittedAt = later(this.now(), -this.parts.ageMs(record));
-      job = new Job(spec, record.chunkSize, version, submittedAt);
+      job = new Job(spec, record.chunkSize, version, submittedAt, record.graph ?? null);
       if (record.phase === 'active')
         this.parts.log.debug(
           { job: spec.id, class: spec.class, tasks: spec.tasks, team: spec.team },
@@ -193,7 +195,7 @@
     on?.delete(name);
     if (machine !== undefined && (on === undefined || on.size === 0)) machine.idleSince = now;
     this.emit('changed', job);
-    this.emit('off', job, p, done);
+    this.emit('off', job, p, done, why);
     // A gang that lost a task cannot go on: the rest is told, so that all can start anew together. Where it
     // surely has not started, a replacement under the same attempt completes it; but a machine that still
     // knows this attempt of the task would not start it again.
@@ -208,6 +210,19 @@
     this.emit('plan');
   }
 
+  /** Gives up a task for good: stopped where it may be on a machine, never started again. */
+  abandon(job: Job, task: number): void {
+    const p = job.placements.get(task);
+    if (p !== undefined) {
+      job.askStop(task, 0, 'cancelled', this.now());
+      this.emit('due', p.machine);
+      return;
+    }
+    job.abandon(task);
+    this.emit('abandoned', job, task);
+    this.checkFinished(job);
+  }
+
   stopGang(job: Job, graceS: number, reason: StopReason): void {
     const machines = new Set<MachineId>();
     for (const p of job.placements.values()) {
--- a/packages/controller/src/jobs.ts
+++ b/packages/controller/src/jobs.ts
@@ -46,7 +46,7 @@
       1,
     );
     if (outcome.outcome === 'committed') return { code: 201, status: { id: spec.id, phase: 'queued' } };
-    if (outcome.outcome === 'conflict') return this.known(spec.id, unsure('the job is being accepted'));
+    if (outcome.outcome === 'conflict') return this.known(spec.id, unsure('the id is in use'));
     return unsure('the state service did not confirm');
   }
 
@@ -73,6 +73,8 @@
     if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
     if (found.outcome !== 'found') return unsure('the state service does not answer');
     const record = decodeJob(found.item.value);
+    // A part of a task graph is no job that anybody submitted: its graph is asked about, and cancelled.
+    if (record.graph !== undefined) return { code: 404, error: 'no such job' };
     const p = this.progress(id) ?? { done: 0, running: 0 };
     const phase: JobPhase = userPhase(record, p.running);
     const done = phase === 'done' ? record.spec.tasks : p.done;
@@ -86,6 +88,7 @@
       if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
       if (found.outcome !== 'found') return unsure('the state service does not answer');
       const record = decodeJob(found.item.value);
+      if (record.graph !== undefined) return { code: 404, error: 'no such job' };
       if (record.phase !== 'active') return { code: 200, status: { id, phase: record.phase } };
       const outcome = await this.store.commit(
         [{ key: jobKey(id), version: found.item.version satisfies Version }],
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -54,9 +54,14 @@
       this.reports.take(r);
     };
     this.commands = new Commands(tenure, cluster, takeReport);
-    this.recorder = new Recorder(tenure, cluster, (item) => {
-      this.records.learn(item);
-    });
+    this.recorder = new Recorder(
+      tenure,
+      cluster,
+      (item) => {
+        this.records.learn(item);
+      },
+      (job) => this.rooms.every((room) => room.mayClose(job)),
+    );
     this.fleet = new Fleet(tenure, cluster);
     this.rooms = c.rooms.map((room) => room(tenure, cluster));
     this.planning = new Planning(tenure, cluster, estimates, {
@@ -101,7 +106,7 @@
 
   /** A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). */
   report(r: WorkerReport): WorkerCommand[] | null {
-    if (!this.records.areFresh) return null;
+    if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
     this.reports.take(r);
     const commands = this.ready ? this.commands.ordersFor(r) : [];
     this.reports.answered(r);
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -39,6 +39,8 @@
     private readonly cluster: Cluster,
     /** Takes in a job's record that was read again. */
     private readonly learn: (item: Item) => void,
+    /** Whether a job whose tasks are all done may be closed: what they came to is known elsewhere, too. */
+    private readonly mayClose: (job: Job) => boolean,
   ) {
     cluster.on('placed', (job, task) => {
       this.dirty(job, task, true);
@@ -46,6 +48,9 @@
     cluster.on('off', (job, p) => {
       this.dirty(job, p.task, false);
     });
+    cluster.on('abandoned', (job, task) => {
+      this.dirty(job, task, false);
+    });
     cluster.on('ended', (job) => {
       this.ended(job);
     });
@@ -110,6 +115,7 @@
         this.closing.delete(id);
         continue;
       }
+      if (!this.mayClose(job)) continue;
       const key = jobKey(id);
       const chunks = job.chunks.map((c) => chunkKey(id, c.index));
       if (this.busy.has(key) || chunks.some((k) => this.busy.has(k))) continue;
@@ -125,7 +131,13 @@
     const changes: Change[] = [
       {
         put: key,
-        value: encodeJob({ spec: job.spec, phase: 'done', at: at as never, chunkSize: job.chunkSize }),
+        value: encodeJob({
+          spec: job.spec,
+          phase: 'done',
+          at: at as never,
+          chunkSize: job.chunkSize,
+          ...(job.graph === null ? {} : { graph: job.graph }),
+        }),
       },
     ];
     const only = job.chunks.length === 1 ? job.chunks[0] : undefined;
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -52,6 +52,10 @@
   run(): Promise<void>;
   /** Whether the job takes part in the order now: only what has joined is planned. */
   hasJoined(job: Job): boolean;
+  /** Whether a job whose tasks are all done may be closed, and its task records deleted. */
+  mayClose(job: Job): boolean;
+  /** Whether it knows all cancellations that a report must not outlive (`JobRecords.areFresh`). */
+  readonly isFresh: boolean;
 }
 
 export type RoomFactory = (tenure: Tenure, cluster: Cluster) => Room;
--- /dev/null
+++ b/packages/graph-service/src/room.ts
@@ -0,0 +1,721 @@
+import type { Cluster, Room, RoomFactory, Tenure } from '@spurbridge/controller';
+import { Signal, answerHorizonMs } from '@spurbridge/controller';
+import { Graph } from '@spurbridge/graph';
+import type { Job, JobRecord } from '@spurbridge/model';
+import { JOB_PREFIX, chunkSizeFor, encodeJob, jobKey } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { CommitOutcome } from '@spurbridge/store';
+import type {
+  BatchId,
+  Change,
+  Condition,
+  GraphId,
+  GraphTaskId,
+  Item,
+  JobId,
+  JobSpec,
+  Revision,
+  TaskShape,
+  Version,
+} from '@spurbridge/wire';
+import { ABSENT, graphTaskId, splitTaskId } from '@spurbridge/wire';
+import type { HeadRecord, KeptBatch, Part, StateRecord } from './records.js';
+import {
+  GRAPH_PREFIX,
+  OPEN_PREFIX,
+  batchKey,
+  batchPrefix,
+  decodeBatch,
+  decodeHead,
+  decodeState,
+  encodeHead,
+  headKey,
+  openKey,
+  stateKey,
+  statePrefix,
+} from './records.js';
+import { specLike } from './service.js';
+
+const WATCH_MS = 2000;
+const GAP_MS = 100;
+const RETRY_MS = 200;
+/** Before its first load a leader keeps the workers alive for this long at most. */
+const LOAD_MS = 5000;
+/** What a batch's state takes at the most, for each of its tasks and beside them. */
+const TASK_BYTES = 36;
+const BATCH_BYTES = 300;
+const MOST_BYTES = 48 * 1024;
+/** Tasks of one graph that are with the scheduler at a time: more would only lengthen its queues. */
+const MOST_SUBMITTED = 2000;
+const MOST_COTASK = 200;
+const MOST_FAILURES = 10;
+
+interface Kept {
+  readonly batch: KeptBatch;
+  version: Version;
+}
+
+/** One graph that is not over, with what its records are. */
+interface Open {
+  head: HeadRecord;
+  version: Version;
+  graph: Graph;
+  readonly batches: Map<BatchId, Kept>;
+  /** Where each submitted task is. */
+  readonly parts: Map<GraphTaskId, { readonly cotask: string; readonly piece: number }>;
+  /** The tasks of each cotask by piece; after a takeover without those that had ended before. */
+  readonly cotasks: Map<string, readonly (GraphTaskId | undefined)[]>;
+  /** Batches whose records are behind, and those of them that are being written. */
+  readonly dirty: Set<BatchId>;
+  readonly writing: Set<BatchId>;
+}
+
+/**
+ * A cotask's job id: no user's, who name theirs otherwise, and never used again, since a worker that remembers
+ * a task by its name would answer for another one. The cotask's name holds its leader's token.
+ */
+export function cotaskJob(id: GraphId, cotask: string): JobId {
+  return `wk-.${id}.${cotask}` as JobId;
+}
+
+/**
+ * Runs task graphs on the core that runs everything: ready tasks of one shape become an array of their own, a
+ * cotask in the paper's sense, with the records, quotas and order of any job. What became of each task is
+ * durable before the array's own records are let go.
+ */
+class GraphRoom implements Room {
+  private readonly open = new Map<GraphId, Open>();
+  private readonly byJob = new Map<JobId, { readonly graph: GraphId; readonly cotask: string }>();
+  /** Job records of cotasks that are over. */
+  private readonly litter = new Set<JobId>();
+  private readonly signal = new Signal();
+  private cotasks = 0;
+  /** Cotasks of which it is not known whether their commit was executed. */
+  private readonly unsure = new Set<JobId>();
+  private freshAt: Ms;
+  private from: Revision | null = null;
+
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+  ) {
+    this.freshAt = later(tenure.electedAt, LOAD_MS - answerHorizonMs(tenure.c.settings));
+    cluster.on('off', (job, p, done, why) => {
+      this.onOff(job, p.task, done, why);
+    });
+    cluster.on('released', (job) => {
+      if (job.graph === null) return;
+      this.litter.add(job.spec.id);
+      this.signal.raise();
+    });
+  }
+
+  // --- as a room -------------------------------------------------------------------------------
+
+  /** A cotask takes part once it is known which tasks it stands for. */
+  hasJoined(job: Job): boolean {
+    return job.graph === null || (this.byJob.has(job.spec.id) && !this.unsure.has(job.spec.id));
+  }
+
+  /** The tasks of a cotask are all done: once what they came to is durable, its own records may go. */
+  mayClose(job: Job): boolean {
+    const at = this.byJob.get(job.spec.id);
+    const o = at === undefined ? undefined : this.open.get(at.graph);
+    if (at === undefined || o === undefined) return true;
+    const tasks = o.cotasks.get(at.cotask) ?? [];
+    return tasks.every((t) => {
+      if (t === undefined) return true;
+      const part = o.parts.get(t);
+      const { batch } = splitTaskId(t);
+      // One that is being written is not durable yet: closed by then, its tasks were run again by a new leader.
+      return part?.cotask !== at.cotask && !o.dirty.has(batch) && !o.writing.has(batch);
+    });
+  }
+
+  /** Cancellations of graphs that were confirmed to a client are known, as those of jobs must be. */
+  get isFresh(): boolean {
+    const { clock, settings } = this.tenure.c;
+    return clock.now() - this.freshAt <= answerHorizonMs(settings);
+  }
+
+  async restore(): Promise<void> {
+    const { store, clock, log } = this.tenure.c;
+    while (this.tenure.active) {
+      const askedAt = clock.now();
+      const open = await store.list(OPEN_PREFIX, 0);
+      const jobs = open.outcome === 'listed' ? await store.list(JOB_PREFIX + cotaskPrefix(), 1) : open;
+      let good = open.outcome === 'listed' && jobs.outcome === 'listed';
+      if (open.outcome === 'listed')
+        for (const item of open.items)
+          good = good && (await this.load(item.key.slice(item.key.lastIndexOf('/') + 1) as GraphId));
+      if (good && open.outcome === 'listed' && jobs.outcome === 'listed') {
+        this.freshAt = askedAt;
+        this.from = open.revision;
+        // What is left of cotasks that were over before anybody tidied up.
+        for (const item of jobs.items) {
+          const id = item.key.slice(JOB_PREFIX.length) as JobId;
+          if (!this.cluster.jobs.has(id)) this.litter.add(id);
+        }
+        for (const job of [...this.cluster.jobs.values()])
+          if (job.graph !== null && !this.open.has(job.graph as GraphId)) this.tidyPieces(null, job);
+        log.info({ graphs: this.open.size }, 'graphs restored');
+        return;
+      }
+      this.open.clear();
+      this.byJob.clear();
+      await clock.sleep(RETRY_MS);
+    }
+  }
+
+  async run(): Promise<void> {
+    await Promise.all([this.watch(), this.work()]);
+  }
+
+  // --- reading ---------------------------------------------------------------------------------
+
+  private async load(id: GraphId): Promise<boolean> {
+    const { store } = this.tenure.c;
+    const head = await store.read(headKey(id), 1);
+    if (head.outcome === 'absent') return true;
+    const batches = await store.list(batchPrefix(id), 1);
+    const states = await store.list(statePrefix(id), 1);
+    if (head.outcome !== 'found' || batches.outcome !== 'listed' || states.outcome !== 'listed') return false;
+    const record = decodeHead(head.item.value);
+    const stateOf = new Map<string, { record: StateRecord; version: Version }>(
+      states.items.map((s) => [
+        s.key.slice(statePrefix(id).length),
+        { record: decodeState(s.value), version: s.version },
+      ]),
+    );
+    const kept = batches.items.map((b) => decodeBatch(b.value)).sort((a, b) => a.order - b.order);
+    const o: Open = {
+      head: record,
+      version: head.item.version,
+      // One that is over may have lost some of its records already.
+      graph:
+        record.tally !== null
+          ? new Graph(id)
+          : Graph.restore(
+              id,
+              kept.map((b) => ({ batch: b.batch, record: stateOf.get(b.batch.id)?.record ?? null })),
+            ),
+      batches: new Map(
+        kept.map((b) => [b.batch.id, { batch: b, version: stateOf.get(b.batch.id)?.version ?? ABSENT }]),
+      ),
+      parts: new Map(),
+      cotasks: new Map(),
+      dirty: new Set(),
+      writing: new Set(),
+    };
+    this.open.set(id, o);
+    if (record.tally !== null) return true;
+    for (const [batch, s] of stateOf)
+      for (const part of s.record.parts) this.recall(o, batch as BatchId, part);
+    this.settleRestored(o);
+    this.applyCancellations(o);
+    return true;
+  }
+
+  private recall(o: Open, batch: BatchId, [task, cotask, piece]: Part): void {
+    const id = graphTaskId(batch, task);
+    o.parts.set(id, { cotask, piece });
+    const tasks = [...(o.cotasks.get(cotask) ?? [])];
+    tasks[piece] = id;
+    o.cotasks.set(cotask, tasks);
+    this.byJob.set(cotaskJob(o.head.head.id, cotask), { graph: o.head.head.id, cotask });
+  }
+
+  /** What the cotasks' own records say beyond the graph's. */
+  private settleRestored(o: Open): void {
+    for (const [id, { cotask, piece }] of [...o.parts]) {
+      const job = this.cluster.jobs.get(cotaskJob(o.head.head.id, cotask));
+      if (job !== undefined && !job.isDone(piece)) {
+        if (o.graph.state(id) === 'cancelling') this.cluster.abandon(job, piece);
+        continue;
+      }
+      o.parts.delete(id);
+      if (job === undefined || job.abandoned.has(piece)) o.graph.gone(id);
+      else o.graph.done(id);
+    }
+    for (const job of [...this.cluster.jobs.values()])
+      if (job.graph === o.head.head.id) this.tidyPieces(o, job);
+    this.note(o);
+  }
+
+  /** Pieces that no task stands for any more: given up before, which the job's own record does not say yet. */
+  private tidyPieces(o: Open | null, job: Job): void {
+    const cotask = job.spec.id.slice(job.spec.id.lastIndexOf('.') + 1);
+    const tasks = o?.cotasks.get(cotask) ?? [];
+    if (o !== null) this.byJob.set(job.spec.id, { graph: o.head.head.id, cotask });
+    for (let piece = 0; piece < job.spec.tasks && job.state === 'active'; piece += 1) {
+      const id = tasks[piece];
+      if (job.isDone(piece) || (id !== undefined && o?.parts.get(id)?.cotask === cotask)) continue;
+      this.cluster.abandon(job, piece);
+    }
+  }
+
+  private async watch(): Promise<void> {
+    const { clock, store } = this.tenure.c;
+    while (this.tenure.active && this.from !== null) {
+      const askedAt = clock.now();
+      const seen = await store.watch(GRAPH_PREFIX, this.from, WATCH_MS);
+      if (!this.tenure.active) return;
+      if (seen.outcome === 'events') {
+        for (const e of seen.events)
+          if ('put' in e) this.learn({ key: e.put, value: e.value, version: e.version });
+        this.from = seen.revision;
+        this.freshAt = askedAt;
+        if (seen.events.length > 0) this.signal.raise();
+      } else if (seen.outcome === 'compacted') {
+        const all = await store.list(GRAPH_PREFIX, 0);
+        if (all.outcome !== 'listed') continue;
+        const heads = all.items.filter((i) => !i.key.includes('/b/'));
+        const batches = all.items.filter((i) => i.key.includes('/b/'));
+        batches.sort((a, b) => decodeBatch(a.value).order - decodeBatch(b.value).order);
+        for (const item of [...heads, ...batches]) this.learn(item);
+        this.from = all.revision;
+        this.freshAt = askedAt;
+        this.signal.raise();
+      } else await clock.sleep(150);
+    }
+  }
+
+  /** Takes in a head or a batch, from a list or a watch. */
+  private learn(item: Item): void {
+    try {
+      const [, id, kind] = item.key.split('/');
+      if (kind === undefined) this.learnHead(id as GraphId, decodeHead(item.value), item.version);
+      else this.learnBatch(id as GraphId, decodeBatch(item.value));
+    } catch (e) {
+      this.tenure.c.log.error({ key: item.key, error: String(e) }, 'graph record cannot be read');
+    }
+  }
+
+  private learnHead(id: GraphId, record: HeadRecord, version: Version): void {
+    let o = this.open.get(id);
+    if (o === undefined) {
+      if (record.tally !== null) return;
+      o = {
+        head: record,
+        version,
+        graph: new Graph(id),
+        batches: new Map(),
+        parts: new Map(),
+        cotasks: new Map(),
+        dirty: new Set(),
+        writing: new Set(),
+      };
+      this.open.set(id, o);
+    } else if (version > o.version) {
+      o.head = record;
+      o.version = version;
+    }
+    this.applyCancellations(o);
+  }
+
+  private learnBatch(id: GraphId, batch: KeptBatch): void {
+    const o = this.open.get(id);
+    if (o === undefined || o.batches.has(batch.batch.id)) return;
+    o.graph.add(batch.batch);
+    o.batches.set(batch.batch.id, { batch, version: ABSENT });
+    this.applyCancellations(o);
+  }
+
+  private applyCancellations(o: Open): void {
+    if (o.head.tally !== null) return;
+    const known = o.head.cancelled.filter((c) => o.graph.has(splitTaskId(c.task).batch));
+    const running =
+      o.head.phase === 'cancelled'
+        ? o.graph.cancelAll()
+        : known.flatMap((c) => o.graph.cancel([c.task], c.recursive));
+    for (const id of running) this.stop(o, id);
+    this.note(o);
+  }
+
+  /** A cancelled task counts until it is gone; one on no machine is so at once. */
+  private stop(o: Open, id: GraphTaskId): void {
+    const part = o.parts.get(id);
+    const job =
+      part === undefined ? undefined : this.cluster.jobs.get(cotaskJob(o.head.head.id, part.cotask));
+    if (part === undefined || job === undefined) {
+      o.graph.gone(id);
+      return;
+    }
+    if (!job.placements.has(part.piece)) {
+      o.parts.delete(id);
+      o.graph.gone(id);
+    }
+    this.cluster.abandon(job, part.piece);
+  }
+
+  // --- what becomes of tasks -------------------------------------------------------------------
+
+  private onOff(job: Job, piece: number, done: boolean, why: string): void {
+    const at = this.byJob.get(job.spec.id);
+    const o = at === undefined ? undefined : this.open.get(at.graph);
+    const id = at === undefined ? undefined : o?.cotasks.get(at.cotask)?.[piece];
+    if (o === undefined || id === undefined || o.parts.get(id)?.cotask !== at?.cotask) {
+      // Given up while it may still have been on a machine: now it is not.
+      if (job.graph !== null && !done) this.cluster.abandon(job, piece);
+      return;
+    }
+    if (done) {
+      o.parts.delete(id);
+      o.graph.done(id);
+    } else if (o.graph.state(id) === 'cancelling') {
+      o.parts.delete(id);
+      o.graph.gone(id);
+      this.cluster.abandon(job, piece);
+    } else if (why === 'error') {
+      o.graph.failed(id);
+      // Another try stays where it is; one that must wait again, or is over, leaves its cotask.
+      if (o.graph.state(id) === 'ready') o.graph.submit(id);
+      else {
+        o.parts.delete(id);
+        this.cluster.abandon(job, piece);
+      }
+    }
+    this.note(o);
+    this.signal.raise();
+  }
+
+  private note(o: Open): void {
+    for (const b of o.graph.takeChanged()) o.dirty.add(b);
+    o.graph.takeDropped();
+  }
+
+  // --- writing ---------------------------------------------------------------------------------
+
+  /** One write after the other: each is conditioned on what the one before it left. */
+  private async work(): Promise<void> {
+    const { clock, leadership } = this.tenure.c;
+    while (this.tenure.active) {
+      await this.signal.wait(clock, 1000);
+      if (!this.tenure.active) return;
+      if (leadership.holdsSurely()) {
+        for (const o of [...this.open.values()]) {
+          await this.submitReady(o);
+          if (!this.tenure.active) return;
+          await this.writeStates(o);
+          if (!this.tenure.active) return;
+          if (this.isOver(o)) await this.finish(o);
+          if (!this.tenure.active) return;
+        }
+        await this.tidy();
+      }
+      await clock.sleep(GAP_MS);
+    }
+  }
+
+  private stateValue(o: Open, batch: BatchId, size: number): Record<string, unknown> {
+    const parts: Part[] = [];
+    for (let n = 0; n < size; n += 1) {
+      const part = o.parts.get(graphTaskId(batch, n));
+      if (part !== undefined) parts.push([n, part.cotask, part.piece]);
+    }
+    return { ...o.graph.encode(batch), parts };
+  }
+
+  /** Changes and conditions that bring the records of some batches up to date, as many as one commit takes. */
+  private states(
+    o: Open,
+    batches: Iterable<BatchId>,
+    room: number,
+  ): { batch: BatchId; change: Change; condition: Condition }[] {
+    const made: { batch: BatchId; change: Change; condition: Condition }[] = [];
+    let bytes = 0;
+    for (const batch of batches) {
+      const kept = o.batches.get(batch);
+      if (kept === undefined) continue;
+      const key = stateKey(o.head.head.id, batch);
+      const value = this.stateValue(o, batch, kept.batch.batch.tasks.length);
+      bytes += JSON.stringify(value).length + 200;
+      if (made.length >= room || (made.length > 0 && bytes > MOST_BYTES)) break;
+      made.push({ batch, change: { put: key, value }, condition: { key, version: kept.version } });
+    }
+    return made;
+  }
+
+  private written(o: Open, batches: readonly BatchId[], version: Version): void {
+    for (const b of batches) {
+      const kept = o.batches.get(b);
+      if (kept !== undefined) kept.version = version;
+    }
+  }
+
+  private async writeStates(o: Open): Promise<void> {
+    const { store, leadership, settings } = this.tenure.c;
+    while (o.dirty.size > 0 && this.tenure.active) {
+      const due = this.states(o, o.dirty, settings.state.txnOps);
+      if (due.length === 0) {
+        o.dirty.clear();
+        return;
+      }
+      // What changes while the write is under way is due again.
+      for (const d of due) {
+        o.dirty.delete(d.batch);
+        o.writing.add(d.batch);
+      }
+      const outcome = await store.commit(
+        [leadership.condition(), ...due.map((d) => d.condition)],
+        due.map((d) => d.change),
+        2,
+      );
+      o.writing.clear();
+      if (outcome.outcome === 'committed')
+        this.written(
+          o,
+          due.map((d) => d.batch),
+          outcome.revision as number as Version,
+        );
+      else {
+        for (const d of due) o.dirty.add(d.batch);
+        await this.failed(o, outcome);
+        return;
+      }
+    }
+  }
+
+  /** Ready tasks of one shape become a cotask: job and assignment in one commit, or neither. */
+  private async submitReady(o: Open): Promise<void> {
+    const { store, leadership, settings, clock, wallNow, log } = this.tenure.c;
+    if (o.head.phase === 'cancelled') return;
+    while (this.tenure.active) {
+      const room = MOST_SUBMITTED - o.parts.size;
+      const ready = o.graph.ready();
+      const first = ready[0];
+      if (first === undefined || room <= 0) return;
+      const shape = o.graph.shape(first);
+      const like = JSON.stringify(shape);
+      const batches = new Set<BatchId>();
+      const tasks: GraphTaskId[] = [];
+      let bytes = 0;
+      for (const id of ready) {
+        if (tasks.length >= Math.min(MOST_COTASK, room)) break;
+        if (JSON.stringify(o.graph.shape(id)) !== like) continue;
+        const { batch } = splitTaskId(id);
+        if (!batches.has(batch)) {
+          const size = o.batches.get(batch)?.batch.batch.tasks.length ?? 0;
+          const adds = BATCH_BYTES + size * TASK_BYTES;
+          // The job's own record takes one change of the commit.
+          if (batches.size > 0 && (bytes + adds > MOST_BYTES || batches.size >= settings.state.txnOps - 1))
+            continue;
+          bytes += adds;
+          batches.add(batch);
+        }
+        tasks.push(id);
+      }
+      this.cotasks += 1;
+      const cotask = `${leadership.token}-${this.cotasks}`;
+      tasks.forEach((id, piece) => {
+        o.graph.submit(id);
+        o.parts.set(id, { cotask, piece });
+      });
+      const job = cotaskJob(o.head.head.id, cotask);
+      const record: JobRecord = {
+        spec: this.spec(o, job, shape, tasks.length),
+        phase: 'active',
+        at: wallNow(),
+        chunkSize: chunkSizeFor(settings.state.valueKb),
+        graph: o.head.head.id,
+      };
+      o.cotasks.set(cotask, tasks);
+      this.byJob.set(job, { graph: o.head.head.id, cotask });
+      const due = this.states(o, batches, settings.state.txnOps - 1);
+      this.unsure.add(job);
+      const outcome = await store.commit(
+        [leadership.condition(), { key: jobKey(job), version: ABSENT }, ...due.map((d) => d.condition)],
+        [{ put: jobKey(job), value: encodeJob(record) }, ...due.map((d) => d.change)],
+        1,
+      );
+      if (!this.tenure.active) return;
+      const version =
+        outcome.outcome === 'committed'
+          ? (outcome.revision as number as Version)
+          : outcome.outcome === 'unknown'
+            ? await this.wasExecuted(o, job, cotask, tasks)
+            : null;
+      if (!this.tenure.active) return;
+      this.unsure.delete(job);
+      if (version === null) {
+        o.cotasks.delete(cotask);
+        this.byJob.delete(job);
+        if (outcome.outcome !== 'unknown') {
+          this.withdraw(o, tasks);
+          await this.failed(o, outcome);
+        }
+        return;
+      }
+      this.written(
+        o,
+        due.map((d) => d.batch),
+        version,
+      );
+      this.cluster.learnJob(record, version);
+      log.debug({ graph: o.head.head.id, job, tasks: tasks.length }, 'cotask submitted');
+      // Meanwhile some may have been cancelled, and even thought to be nowhere.
+      tasks.forEach((id, piece) => {
+        const known = this.cluster.jobs.get(job);
+        if (known !== undefined && o.parts.get(id)?.cotask !== cotask) this.cluster.abandon(known, piece);
+      });
+      for (const id of tasks) if (o.graph.state(id) === 'cancelling') this.stop(o, id);
+      this.note(o);
+      this.cluster.emit('plan');
+      await clock.sleep(0);
+    }
+  }
+
+  /**
+   * A commit without an answer may have been executed, or may still be. Either its job is found; or a write to
+   * one of the records that it was conditioned on goes through, after which it never can be.
+   *
+   * @returns the version that it wrote, or null once it is sure that it wrote nothing
+   */
+  private async wasExecuted(
+    o: Open,
+    job: JobId,
+    cotask: string,
+    tasks: readonly GraphTaskId[],
+  ): Promise<Version | null> {
+    const { store, leadership, clock } = this.tenure.c;
+    while (this.tenure.active) {
+      await clock.sleep(RETRY_MS);
+      const found = await store.read(jobKey(job), 1);
+      if (!this.tenure.active) return null;
+      if (found.outcome === 'found') return found.item.version;
+      const [first] = tasks;
+      if (found.outcome !== 'absent' || first === undefined) continue;
+      this.withdraw(o, tasks);
+      const [fence] = this.states(o, [splitTaskId(first).batch], 1);
+      if (fence === undefined) return null;
+      const outcome = await store.commit([leadership.condition(), fence.condition], [fence.change], 1);
+      if (!this.tenure.active) return null;
+      if (outcome.outcome === 'committed') {
+        this.written(o, [fence.batch], outcome.revision as number as Version);
+        return null;
+      }
+      // Not yet sure: they stay where they may be.
+      tasks.forEach((id, piece) => {
+        if (o.graph.state(id) !== 'ready') return;
+        o.graph.submit(id);
+        o.parts.set(id, { cotask, piece });
+      });
+      if (outcome.outcome === 'conflict' && outcome.failed.includes(leadership.condition().key)) {
+        leadership.lost('a conditioned write failed');
+        return null;
+      }
+    }
+    return null;
+  }
+
+  private withdraw(o: Open, tasks: readonly GraphTaskId[]): void {
+    for (const id of tasks) {
+      o.parts.delete(id);
+      o.graph.gone(id);
+    }
+    this.note(o);
+  }
+
+  private spec(o: Open, id: JobId, shape: TaskShape, tasks: number): JobSpec {
+    const { head } = o.head;
+    return { ...specLike(shape), id, class: head.class, team: head.team, priority: head.priority, tasks };
+  }
+
+  private isOver(o: Open): boolean {
+    if (o.head.tally !== null) return true;
+    const ends = o.head.phase === 'sealed' || o.head.phase === 'cancelled';
+    return (
+      ends && o.graph.isSettled && o.graph.size === o.head.tasks && o.dirty.size === 0 && o.parts.size === 0
+    );
+  }
+
+  /** The graph is over: first its head says so, then all its other records go. */
+  private async finish(o: Open): Promise<void> {
+    const { store, leadership, settings, log } = this.tenure.c;
+    const { head } = o.head;
+    const { done, failed, cancelled } = o.graph.counts;
+    const key = headKey(head.id);
+    if (o.head.tally === null) {
+      const phase = o.head.phase === 'cancelled' ? 'cancelled' : failed + cancelled > 0 ? 'failed' : 'done';
+      const record: HeadRecord = {
+        ...o.head,
+        phase,
+        cancelled: [],
+        tally: { done, failed, cancelled, failures: o.graph.firstFailures(MOST_FAILURES) },
+      };
+      const outcome = await store.commit(
+        [leadership.condition(), { key, version: o.version }],
+        [{ put: key, value: encodeHead(record) }],
+        1,
+      );
+      if (outcome.outcome !== 'committed') return this.failed(o, outcome);
+      o.head = record;
+      o.version = outcome.revision as number as Version;
+      log.info({ graph: head.id, phase, done, failed, cancelled }, 'graph over');
+    }
+    const keys = [...o.batches.keys()].flatMap((b) => [stateKey(head.id, b), batchKey(head.id, b)]);
+    // The list of open graphs comes last: until then a new leader goes on tidying.
+    keys.push(openKey(head.team, head.id));
+    for (let n = 0; n < keys.length; n += settings.state.txnOps) {
+      const outcome = await store.commit(
+        [leadership.condition()],
+        keys.slice(n, n + settings.state.txnOps).map((k) => ({ delete: k })),
+        3,
+      );
+      if (!this.tenure.active) return;
+      if (outcome.outcome !== 'committed') return this.failed(o, outcome);
+    }
+    this.open.delete(head.id);
+  }
+
+  private async tidy(): Promise<void> {
+    const { store, leadership, settings } = this.tenure.c;
+    const batch = [...this.litter].slice(0, settings.state.txnOps);
+    if (batch.length === 0) return;
+    const outcome = await store.commit(
+      [leadership.condition()],
+      batch.map((id) => ({ delete: jobKey(id) })),
+      3,
+    );
+    if (outcome.outcome !== 'committed') return;
+    for (const id of batch) {
+      this.litter.delete(id);
+      const at = this.byJob.get(id);
+      this.byJob.delete(id);
+      if (at !== undefined) this.open.get(at.graph)?.cotasks.delete(at.cotask);
+    }
+  }
+
+  /** Refused: later. Unknown or conflicting: an earlier write may have been executed, so it is read again. */
+  private async failed(o: Open, outcome: CommitOutcome): Promise<void> {
+    const { store, leadership, clock } = this.tenure.c;
+    if (outcome.outcome === 'conflict') {
+      if (outcome.failed.includes(leadership.condition().key)) {
+        leadership.lost('a conditioned write failed');
+        return;
+      }
+      for (const key of outcome.failed) {
+        const found = await store.read(key, 1);
+        if (!this.tenure.active) return;
+        if (found.outcome !== 'found') continue;
+        if (key === headKey(o.head.head.id))
+          this.learnHead(o.head.head.id, decodeHead(found.item.value), found.item.version);
+        else if (!key.startsWith(JOB_PREFIX)) {
+          const kept = o.batches.get(key.slice(statePrefix(o.head.head.id).length) as BatchId);
+          if (kept !== undefined) kept.version = found.item.version;
+        }
+      }
+    } else await clock.sleep(RETRY_MS);
+    this.signal.raise();
+  }
+}
+
+function cotaskPrefix(): string {
+  return 'wk-.gr-';
+}
+
+/** A room that runs task graphs. */
+export function graphRoom(): RoomFactory {
+  return (tenure, cluster) => new GraphRoom(tenure, cluster);
+}
--- /dev/null
+++ b/packages/graph-service/src/service.ts
@@ -0,0 +1,380 @@
+import type { Settings } from '@spurbridge/controller';
+import { fitsType } from '@spurbridge/model';
+import type { StateStore } from '@spurbridge/store';
+import type {
+  Batch,
+  BatchId,
+  GraphId,
+  GraphTaskId,
+  JobId,
+  MachineType,
+  TaskShape,
+  Version,
+} from '@spurbridge/wire';
+import {
+  ABSENT,
+  MalformedError,
+  isGraphId,
+  parseBatch,
+  parseGraphHead,
+  read,
+  splitTaskId,
+} from '@spurbridge/wire';
+import type { HeadRecord, KeptBatch } from './records.js';
+import {
+  batchKey,
+  decodeBatch,
+  decodeHead,
+  decodeState,
+  encodeBatch,
+  encodeHead,
+  headKey,
+  openKey,
+  OPEN_PREFIX,
+  stateKey,
+  statePrefix,
+} from './records.js';
+
+/** What one team may have at a time, and one graph at all. */
+export interface GraphLimits {
+  readonly openPerTeam: number;
+  readonly tasks: number;
+  /** Tasks that spawn tasks that spawn tasks. */
+  readonly depth: number;
+  /** Other batches whose results one batch takes. */
+  readonly references: number;
+}
+
+export const GRAPH_LIMITS: GraphLimits = { openPerTeam: 200, tasks: 100_000, depth: 64, references: 32 };
+
+export type GraphAnswer =
+  | { readonly code: 200 | 201; readonly body: Record<string, unknown> }
+  | { readonly code: 400 | 404 | 409 | 422; readonly error: string }
+  | { readonly code: 429 | 503; readonly error: string; readonly retryAfterS: number };
+
+const TRIES = 6;
+const BUSY_S = 15;
+const MOST_CANCELLED = 100;
+const PAGE = 50;
+/** Sizes and depths of batches never change: those looked up lately. */
+const MOST_KNOWN = 5000;
+
+const unsure = (error: string): GraphAnswer => ({ code: 503, error, retryAfterS: 1 });
+const NONE: GraphAnswer = { code: 404, error: 'no such graph' };
+
+type Found = { readonly record: HeadRecord; readonly version: Version };
+
+/** Clients' calls about graphs, answered by any node from the state service alone. */
+export class GraphService {
+  private readonly known = new Map<string, { readonly size: number; readonly depth: number }>();
+
+  constructor(
+    private readonly settings: Pick<Settings, 'teams' | 'state'>,
+    private readonly store: StateStore,
+    private readonly types: () => readonly MachineType[],
+    private readonly limits: GraphLimits = GRAPH_LIMITS,
+  ) {}
+
+  /** @throws MalformedError naming the field */
+  async create(body: unknown): Promise<GraphAnswer> {
+    const head = parseGraphHead(body);
+    if (!this.settings.teams.some((t) => t.name === head.team)) return { code: 422, error: 'team: unknown' };
+    const before = await this.head(head.id);
+    if ('code' in before) {
+      if (before.code !== 404) return before;
+    } else if (JSON.stringify(before.record.head) === JSON.stringify(head)) return shown(200, before.record);
+    else
+      return { code: 409, error: `graph: ${head.id} is there already, with another class, team or priority` };
+    const open = await this.store.list(`${OPEN_PREFIX}${encodeURIComponent(head.team)}/`, 1);
+    if (open.outcome !== 'listed') return unsure('the state service does not answer');
+    if (open.items.length >= this.limits.openPerTeam)
+      return {
+        code: 429,
+        error: `team: ${head.team} has ${open.items.length} open graphs, and may have ${this.limits.openPerTeam}`,
+        retryAfterS: BUSY_S,
+      };
+    const record: HeadRecord = { head, phase: 'open', tasks: 0, batches: 0, cancelled: [], tally: null };
+    const outcome = await this.store.commit(
+      [{ key: headKey(head.id), version: ABSENT }],
+      [
+        { put: openKey(head.team, head.id), value: {} },
+        { put: headKey(head.id), value: encodeHead(record) },
+      ],
+      1,
+    );
+    if (outcome.outcome === 'committed') return shown(201, record);
+    return unsure('the state service did not confirm');
+  }
+
+  private async head(id: string): Promise<Found | GraphAnswer> {
+    if (!isGraphId(id)) return NONE;
+    const found = await this.store.read(headKey(id), 1);
+    if (found.outcome === 'absent') return NONE;
+    if (found.outcome !== 'found') return unsure('the state service does not answer');
+    return { record: decodeHead(found.item.value), version: found.item.version };
+  }
+
+  /**
+   * Adds a batch whole, or not at all; the same one again is the same.
+   *
+   * @throws MalformedError naming the field
+   */
+  async add(id: string, body: unknown): Promise<GraphAnswer> {
+    const batch = parseBatch(body);
+    const never = this.neverFits(batch);
+    for (let n = 0; n < TRIES; n += 1) {
+      const found = await this.head(id);
+      if ('code' in found) return found;
+      const { record } = found;
+      const known = await this.again(record.head.id, batch);
+      if (known !== null) return known;
+      if (record.phase !== 'open') return { code: 409, error: `graph: ${id} is ${record.phase}` };
+      if (never !== null) return never;
+      if (record.tasks + batch.tasks.length > this.limits.tasks)
+        return {
+          code: 422,
+          error: `tasks: a graph has at most ${this.limits.tasks}, and ${id} ${record.tasks}`,
+        };
+      const depth = await this.checkReferences(record.head.id, batch);
+      if (typeof depth !== 'number') return depth;
+      const kept: KeptBatch = { batch, order: record.batches, depth };
+      const value = encodeBatch(kept);
+      if (JSON.stringify(value).length > this.settings.state.valueKb * 1024 - 256)
+        return {
+          code: 422,
+          error: `tasks: a batch takes at most ${this.settings.state.valueKb} KiB; send fewer`,
+        };
+      const next: HeadRecord = {
+        ...record,
+        tasks: record.tasks + batch.tasks.length,
+        batches: record.batches + 1,
+      };
+      const outcome = await this.store.commit(
+        [
+          { key: headKey(record.head.id), version: found.version },
+          { key: batchKey(record.head.id, batch.id), version: ABSENT },
+        ],
+        [
+          { put: headKey(record.head.id), value: encodeHead(next) },
+          { put: batchKey(record.head.id, batch.id), value },
+        ],
+        1,
+      );
+      if (outcome.outcome === 'committed')
+        return { code: 201, body: { batch: batch.id, tasks: batch.tasks.length } };
+      if (outcome.outcome !== 'conflict') return unsure('the state service did not confirm');
+    }
+    return unsure('the graph keeps changing');
+  }
+
+  /** The answer to a batch that is there already, or null. */
+  private async again(id: GraphId, batch: Batch): Promise<GraphAnswer | null> {
+    const found = await this.store.read(batchKey(id, batch.id), 1);
+    if (found.outcome === 'absent') return null;
+    if (found.outcome !== 'found') return unsure('the state service does not answer');
+    const before = decodeBatch(found.item.value).batch;
+    return JSON.stringify(before) === JSON.stringify(batch)
+      ? { code: 200, body: { batch: batch.id, tasks: batch.tasks.length } }
+      : { code: 409, error: `batch: ${batch.id} is there already, with other content` };
+  }
+
+  /** What can never run is refused with the batch, like a job that cannot. */
+  private neverFits(batch: Batch): GraphAnswer | null {
+    const types = this.types();
+    if (types.length === 0) return unsure('machine types are not known yet');
+    const at = batch.shapes.findIndex((s) => !types.some((t) => fitsType(specLike(s), t)));
+    return at < 0 ? null : { code: 422, error: `shapes[${at}]: a task fits no machine type` };
+  }
+
+  /** How deep the batch was spawned, or which task that it refers to is not there. */
+  private async checkReferences(id: GraphId, batch: Batch): Promise<number | GraphAnswer> {
+    const refersTo = new Map<BatchId, { task: GraphTaskId; field: string }[]>();
+    const refer = (task: GraphTaskId, field: string): void => {
+      const on = splitTaskId(task).batch;
+      if (on !== batch.id) refersTo.set(on, [...(refersTo.get(on) ?? []), { task, field }]);
+    };
+    batch.tasks.forEach((t, i) => {
+      for (const a of t.after) refer(a, `tasks[${i}][1]`);
+    });
+    if (batch.parent !== null) refer(batch.parent, 'parent');
+    if (refersTo.size > this.limits.references)
+      return { code: 422, error: `tasks: a batch refers to at most ${this.limits.references} others` };
+    let depth = 0;
+    for (const [other, names] of refersTo) {
+      const b = await this.lookUp(id, other);
+      if (b !== null && 'code' in b) return b;
+      const missing = names.find((x) => b === null || splitTaskId(x.task).task >= b.size);
+      if (missing !== undefined)
+        return {
+          code: 400,
+          error: `${missing.field}: expected a task of ${id}, and ${missing.task} is none`,
+        };
+      if (batch.parent !== null && splitTaskId(batch.parent).batch === other) depth = (b?.depth ?? 0) + 1;
+    }
+    return depth <= this.limits.depth
+      ? depth
+      : { code: 422, error: `parent: tasks are spawned at most ${this.limits.depth} deep` };
+  }
+
+  private async lookUp(
+    id: GraphId,
+    batch: BatchId,
+  ): Promise<{ readonly size: number; readonly depth: number } | GraphAnswer | null> {
+    const key = batchKey(id, batch);
+    const known = this.known.get(key);
+    if (known !== undefined) return known;
+    const found = await this.store.read(key, 1);
+    if (found.outcome === 'absent') return null;
+    if (found.outcome !== 'found') return unsure('the state service does not answer');
+    const b = decodeBatch(found.item.value);
+    const facts = { size: b.batch.tasks.length, depth: b.depth };
+    if (this.known.size >= MOST_KNOWN) this.known.clear();
+    this.known.set(key, facts);
+    return facts;
+  }
+
+  /** No batch is added any more: the graph is over once all its tasks are. */
+  async seal(id: string): Promise<GraphAnswer> {
+    return this.change(id, (r) => (r.phase === 'open' ? { ...r, phase: 'sealed' } : null));
+  }
+
+  /**
+   * Cancels the whole graph, or tasks with what waits for them and, if `recursive`, what they spawned.
+   *
+   * @throws MalformedError naming the field
+   */
+  async cancel(id: string, body: unknown): Promise<GraphAnswer> {
+    const o = body === null || body === undefined ? {} : read.asObject(body, 'body');
+    const names = read.optNames(o, 'tasks');
+    const recursive = o['recursive'] === undefined ? true : read.bool(o, 'recursive');
+    if (names === null)
+      return this.change(id, (r) =>
+        r.phase === 'open' || r.phase === 'sealed' ? { ...r, phase: 'cancelled' } : null,
+      );
+    const tasks = names as GraphTaskId[];
+    for (const [i, t] of tasks.entries()) {
+      const b = isGraphId(id) ? await this.lookUp(id, splitTaskId(t).batch) : null;
+      if (b !== null && 'code' in b) return b;
+      if (b === null || !(splitTaskId(t).task < b.size))
+        return { code: 400, error: `tasks[${i}]: expected a task of ${id}, and ${t} is none` };
+    }
+    return this.change(id, (r) => {
+      if (r.phase !== 'open' && r.phase !== 'sealed') return null;
+      const added = tasks.filter(
+        (t) => !r.cancelled.some((c) => c.task === t && (c.recursive || !recursive)),
+      );
+      if (added.length === 0) return null;
+      if (r.cancelled.length + added.length > MOST_CANCELLED)
+        return {
+          code: 422,
+          error: `tasks: at most ${MOST_CANCELLED} subtrees of a graph are cancelled; cancel the graph`,
+        };
+      return { ...r, cancelled: [...r.cancelled, ...added.map((task) => ({ task, recursive }))] };
+    });
+  }
+
+  private async change(
+    id: string,
+    next: (r: HeadRecord) => HeadRecord | GraphAnswer | null,
+  ): Promise<GraphAnswer> {
+    for (let n = 0; n < TRIES; n += 1) {
+      const found = await this.head(id);
+      if ('code' in found) return found;
+      const changed = next(found.record);
+      if (changed === null) return shown(200, found.record);
+      if ('code' in changed) return changed;
+      const key = headKey(found.record.head.id);
+      const outcome = await this.store.commit(
+        [{ key, version: found.version }],
+        [{ put: key, value: encodeHead(changed) }],
+        1,
+      );
+      if (outcome.outcome === 'committed') return shown(200, changed);
+      if (outcome.outcome !== 'conflict') return unsure('the state service did not confirm');
+    }
+    return unsure('the graph keeps changing');
+  }
+
+  async status(id: string): Promise<GraphAnswer> {
+    const found = await this.head(id);
+    if ('code' in found) return found;
+    const { record } = found;
+    if (record.tally !== null) return shown(200, record);
+    const states = await this.store.list(statePrefix(record.head.id), 2);
+    if (states.outcome !== 'listed') return unsure('the state service does not answer');
+    const counts = { done: 0, failed: 0, cancelled: 0, running: 0 };
+    for (const item of states.items)
+      for (const s of decodeState(item.value).states) {
+        if (s === '4') counts.done += 1;
+        else if (s === '5') counts.failed += 1;
+        else if (s === '6') counts.cancelled += 1;
+        else if (s === '2' || s === '3') counts.running += 1;
+      }
+    return { code: 200, body: { ...headBody(record), ...counts } };
+  }
+
+  /** States of a batch's tasks, a page at a time. */
+  async tasks(id: string, batch: string, from: number): Promise<GraphAnswer> {
+    const found = await this.head(id);
+    if ('code' in found) return found;
+    const graph = found.record.head.id;
+    const b = await this.lookUp(graph, batch as BatchId);
+    if (b === null) return { code: 404, error: 'no such batch' };
+    if ('code' in b) return b;
+    const state = await this.store.read(stateKey(graph, batch as BatchId), 2);
+    if (state.outcome !== 'found' && state.outcome !== 'absent')
+      return unsure('the state service does not answer');
+    const states = state.outcome === 'found' ? decodeState(state.item.value).states : '';
+    const tasks = Array.from({ length: Math.max(0, Math.min(PAGE, b.size - from)) }, (_, n) => ({
+      task: `${batch}:${from + n}`,
+      state: STATE_NAMES[Number(states[from + n] ?? 0)],
+    }));
+    return { code: 200, body: { tasks, more: from + PAGE < b.size } };
+  }
+}
+
+const STATE_NAMES = ['waiting', 'ready', 'running', 'cancelling', 'done', 'failed', 'cancelled'];
+
+function headBody(r: HeadRecord): Record<string, unknown> {
+  return { graph: r.head.id, phase: r.phase, tasks: r.tasks };
+}
+
+function shown(code: 200 | 201, r: HeadRecord): GraphAnswer {
+  return { code, body: { ...headBody(r), ...(r.tally ?? {}) } };
+}
+
+/** A shape as a job of its own, for what is asked of jobs. */
+export function specLike(s: TaskShape): Parameters<typeof fitsType>[0] {
+  return {
+    id: 'wk-none' as JobId,
+    class: '',
+    team: '',
+    kind: 'array',
+    priority: 'normal',
+    tasks: 1,
+    cpus: s.cpus,
+    gpus: s.gpus,
+    memoryGb: s.memoryGb,
+    image: s.image,
+    imageGb: s.imageGb,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: s.spot,
+    estimateS: s.estimateS,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  };
+}
+
+/** Wraps a call so that what is malformed is answered with its field. */
+export async function answered(call: () => Promise<GraphAnswer>): Promise<GraphAnswer> {
+  try {
+    return await call();
+  } catch (e) {
+    if (e instanceof MalformedError) return { code: 400, error: e.message };
+    throw e;
+  }
+}
--- a/packages/graph/src/graph.ts
+++ b/packages/graph/src/graph.ts
@@ -462,6 +462,14 @@
     return { kind: t.failure, first: this.name(chain[0] as number), chain: chain.map((c) => this.name(c)) };
   }
 
+  /** Some of the tasks that failed by themselves, in the order in which they were added. */
+  firstFailures(most: number): GraphTaskId[] {
+    const found: GraphTaskId[] = [];
+    for (let i = 0; i < this.tasks.length && found.length < most; i += 1)
+      if (this.at(i).failure === 'error') found.push(this.name(i));
+    return found;
+  }
+
   /** Batches with tasks that changed since this was last asked. */
   takeChanged(): Set<BatchId> {
     const changed = new Set<BatchId>();
@@ -491,7 +499,8 @@
       kept: tasks.map((t) => RESULTS.indexOf(t.result)).join(''),
       held: tasks.map((t) => (t.held ? 1 : 0)).join(''),
       errors: sparse((t) => t.errors),
-      endedBy: tasks.flatMap((t, i) => (t.endedBy < 0 ? [] : [[i, this.name(t.endedBy)]])),
+      // Indices hold as long as batches come in the same order, as they do in `restore`.
+      endedBy: tasks.flatMap((t, i) => (t.endedBy < 0 ? [] : [[i, t.endedBy]])),
       failures: sparse((t) => (t.failure === null ? 0 : FAILURES.indexOf(t.failure) + 1)),
     };
   }
@@ -527,7 +536,7 @@
       t.held = record.held[n] === '1';
     }
     for (const [n, errors] of record.errors) this.at(b.first + n).errors = errors;
-    for (const [n, by] of record.endedBy) this.at(b.first + n).endedBy = this.index(by);
+    for (const [n, by] of record.endedBy) this.at(b.first + n).endedBy = by;
     for (const [n, why] of record.failures) this.at(b.first + n).failure = FAILURES[why - 1] ?? null;
   }
 
@@ -561,6 +570,6 @@
   readonly kept: string;
   readonly held: string;
   readonly errors: readonly (readonly [number, number])[];
-  readonly endedBy: readonly (readonly [number, GraphTaskId])[];
+  readonly endedBy: readonly (readonly [number, number])[];
   readonly failures: readonly (readonly [number, number])[];
 }
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -66,6 +66,7 @@
   private readonly doneTasks: Uint8Array;
   private readonly live = new Map<number, Mutable<Placement>>();
   private doneTotal = 0;
+  private readonly givenUp = new Set<number>();
   readonly chunks: Chunk[];
   /** What holds its tasks together, for a gang. */
   readonly gang: Gang | null;
@@ -84,6 +85,8 @@
     readonly chunkSize: number,
     public version: Version,
     readonly submittedAt: Ms,
+    /** The task graph that it is a part of, or null. */
+    readonly graph: string | null = null,
   ) {
     this.doneTasks = new Uint8Array(spec.tasks);
     this.waitingSince = submittedAt;
@@ -116,10 +119,29 @@
     return this.live;
   }
 
+  /** Done, or given up: either way nothing is to be started for it any more. */
   isDone(task: number): boolean {
     return this.doneTasks[task] === 1;
   }
 
+  /** Tasks given up without being done: parts of a task graph that failed there or were cancelled. */
+  get abandoned(): ReadonlySet<number> {
+    return this.givenUp;
+  }
+
+  /** Gives a task up that is on no machine. */
+  abandon(task: number): void {
+    if (this.live.has(task)) throw new Error(`${this.spec.id}/${task} may still be on a machine`);
+    if (this.isDone(task)) return;
+    this.givenUp.add(task);
+    this.chunkOf(task).edition += 1;
+    this.restoreDone(task);
+  }
+
+  restoreAbandoned(task: number): void {
+    this.givenUp.add(task);
+  }
+
   chunkOf(task: number): Chunk {
     const chunk = this.chunks[Math.floor(task / this.chunkSize)];
     if (chunk === undefined) throw new Error(`${this.spec.id} has no task ${task}`);
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -24,19 +24,24 @@
   readonly phase: 'active' | 'done' | 'cancelled';
   readonly at: WallMs;
   readonly chunkSize: number;
+  /** The task graph that the job is a part of; absent for a user's own job. */
+  readonly graph?: string;
 }
 
 export function encodeJob(r: JobRecord): Record<string, unknown> {
-  return { spec: formatSubmission(r.spec), phase: r.phase, at: r.at, chunk: r.chunkSize };
+  const record = { spec: formatSubmission(r.spec), phase: r.phase, at: r.at, chunk: r.chunkSize };
+  return r.graph === undefined ? record : { ...record, graph: r.graph };
 }
 
 export function decodeJob(value: unknown): JobRecord {
   const o = read.asObject(value, 'job record');
+  const graph = read.optStr(o, 'graph');
   return {
     spec: parseSubmission(o['spec']),
     phase: read.oneOf(o, 'phase', ['active', 'done', 'cancelled']),
     at: read.amount(o, 'at') as WallMs,
     chunkSize: read.count(o, 'chunk', 1),
+    ...(graph === null ? {} : { graph }),
   };
 }
 
@@ -60,7 +65,9 @@
     const p = job.placements.get(t);
     if (p !== undefined) placed.push([t, p.machine, p.session, p.attempt]);
   }
-  return { tries: chunk.attempts, done: job.doneRanges(chunk), placed };
+  const record = { tries: chunk.attempts, done: job.doneRanges(chunk), placed };
+  if (job.abandoned.size === 0) return record;
+  return { ...record, abandoned: [...job.abandoned].filter((t) => t >= first && t < first + job.chunkSize) };
 }
 
 /** Puts a task record's content back into the job that it belongs to. */
@@ -72,6 +79,7 @@
     const [first, last] = part.split('-').map(Number);
     for (let t = first as number; t <= (last ?? (first as number)); t += 1) job.restoreDone(t);
   }
+  for (const t of read.asArray(o['abandoned'] ?? [], 'abandoned')) job.restoreAbandoned(t as number);
   for (const entry of read.asArray(o['placed'], 'placed')) {
     const [task, machine, session, attempt] = read.asArray(entry, 'placed');
     job.restorePlacement(task as number, machine as MachineId, session as Session, attempt as Attempt, now);
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -175,6 +175,14 @@
     this.cluster.emit('plan');
   }
 
+  mayClose(): boolean {
+    return true;
+  }
+
+  get isFresh(): boolean {
+    return true;
+  }
+
   hasJoined(job: Job): boolean {
     if (this.failed) return true;
     const s = this.standing.get(job.spec.id);
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -136,6 +136,10 @@
     });
   }
 
+  keys(): string[] {
+    return [...this.entries.keys()].sort();
+  }
+
   peek(key: string): unknown {
     const e = this.entries.get(key);
     return e === undefined ? undefined : JSON.parse(e.value);
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -47,6 +47,7 @@
   readonly leaseMs: number;
   readonly random: (below: number) => number;
   job(id: JobId): JobSpec | undefined;
+  readonly fails: (job: JobSpec, task: number) => boolean;
   runMs(job: JobSpec, task: number): number;
   readonly gangWaitMs: number;
   readonly gangPeerMs: number;
@@ -328,7 +329,7 @@
           if (this.world.mates(job, t.attempt).length < job.tasks) return this.end(t, 'peers');
           this.world.checker.completed(job, t.attempt);
         }
-        this.end(t, 'done');
+        this.end(t, this.world.fails(job, task) ? 'error' : 'done');
       });
     });
     if (job.kind === 'gang') this.watchMates(t);
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -2,6 +2,7 @@
 import { Controller } from '@spurbridge/controller';
 import type { DirectOutcome, Log, PeerLink, RoomFactory, Settings, WorkerLink } from '@spurbridge/controller';
 import type { Team, WallMs } from '@spurbridge/model';
+import { decodeJob } from '@spurbridge/model';
 import type {
   Attempt,
   JobId,
@@ -54,6 +55,8 @@
   readonly wallStart?: number;
   /** Users ask after their accepted jobs this often, at least; by default every 1.5 s. */
   readonly pollMs?: number;
+  /** Whether a run of the task ends with an error. */
+  readonly fails?: (job: JobSpec, task: number) => boolean;
   /** How long a task really runs; by default 0.6 to 1.4 times its estimate. */
   readonly runMs?: (job: JobSpec, task: number) => number;
 }
@@ -277,7 +280,8 @@
       reportMs: 3000,
       leaseMs: this.o.leaseS * 1000,
       random: (below) => this.random(below),
-      job: (id) => this.checker.submitted.get(id),
+      job: (id) => this.checker.submitted.get(id) ?? this.partOfGraph(id),
+      fails: this.o.fails ?? (() => false),
       runMs: this.o.runMs ?? ((job, task) => job.estimateS * (600 + ((task * 7919) % 800))),
       gangWaitMs: (this.o.gangWaitS ?? GANG_WAIT_S) * 1000,
       gangPeerMs: GANG_PEER_S * 1000,
@@ -287,6 +291,14 @@
     };
   }
 
+  /** Cotasks of graphs are described by their records. */
+  private partOfGraph(id: JobId): JobSpec | undefined {
+    const value = this.state.peek(`j/${id}`);
+    if (value === undefined) return undefined;
+    const record = decodeJob(value);
+    return record.graph === undefined ? undefined : record.spec;
+  }
+
   private readonly gangs = new Map<string, SimGang>();
 
   /** How many attempts of each gang reached a machine. */
--- a/packages/wire/src/graphs.ts
+++ b/packages/wire/src/graphs.ts
@@ -54,7 +54,7 @@
 export const MOST_AFTER = 64;
 const MOST_SHAPES = 32;
 const MOST_RETRIES = 100;
-const GRAPH_ID = /^gr-[A-Za-z0-9_-]{1,40}$/;
+const GRAPH_ID = /^gr-[A-Za-z0-9_-]{1,36}$/;
 const BATCH_ID = /^[A-Za-z0-9_.~-]{1,60}$/;
 const TASK_ID = /^([A-Za-z0-9_.~-]{1,60}):(0|[1-9]\d{0,3})$/;
 
