--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -88,6 +88,11 @@
     );
   }
 
+  /** Machine types as the cloud last told them; none while they are not known. */
+  get types(): readonly MachineType[] {
+    return this.machineTypes;
+  }
+
   async run(): Promise<void> {
     await Promise.all([this.leadership.run(), this.learnTypes(), this.peers.run()]);
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,10 @@
 import type { RoomFactory, Settings } from '@spurbridge/controller';
 import type { WallMs } from '@spurbridge/model';
 import { steadyClock } from '@spurbridge/net';
+import type { StateStore } from '@spurbridge/store';
 import { HttpStateStore } from '@spurbridge/store';
+import type { MachineType } from '@spurbridge/wire';
+import type { FastifyInstance } from 'fastify';
 import { Command, Option } from 'commander';
 import { destination, pino } from 'pino';
 import manifest from '../package.json' with { type: 'json' };
@@ -14,14 +17,20 @@
   return variable !== undefined && ['error', 'info', 'debug'].includes(variable) ? variable : 'info';
 }
 
-async function serve(settings: Settings, level: string, rooms: readonly RoomFactory[]): Promise<void> {
+async function serve(
+  settings: Settings,
+  level: string,
+  rooms: readonly RoomFactory[],
+  addition: Addition | null,
+): Promise<void> {
   const log = pino(
     { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
     destination({ fd: 2, sync: true }),
   );
+  const store = new HttpStateStore(settings.stateAddress, settings.state, steadyClock);
   const controller = new Controller({
     settings,
-    store: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
+    store,
     cloud: new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock),
     workers: new HttpWorkerLink(settings.maxSockets),
     clock: steadyClock,
@@ -32,6 +41,7 @@
     rooms,
   });
   const app = buildServer(controller, log);
+  addition?.routes?.(app, { settings, store, types: () => controller.types });
   const colon = settings.listen.lastIndexOf(':');
   await app.listen({
     host: settings.listen.slice(0, colon),
@@ -47,6 +57,14 @@
   readonly flags: (program: Command) => void;
   /** Rooms made from the flags' values; a `SettingsError` says what is wrong with them. */
   readonly rooms: (flags: Readonly<Record<string, unknown>>) => readonly RoomFactory[];
+  /** Further calls that every node serves. */
+  readonly routes?: (app: FastifyInstance, parts: RouteParts) => void;
+}
+
+export interface RouteParts {
+  readonly settings: Settings;
+  readonly store: StateStore;
+  readonly types: () => readonly MachineType[];
 }
 
 interface Flags {
@@ -86,7 +104,7 @@
       process.stdout.write(`settings of ${settings.node} are valid\n`);
       return;
     }
-    await serve(settings, flags.logLevel ?? levelFrom(process.env['LOG_LEVEL']), rooms);
+    await serve(settings, flags.logLevel ?? levelFrom(process.env['LOG_LEVEL']), rooms, addition);
   });
   program.parseAsync().catch((e: unknown) => {
     process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
--- a/packages/graph-service/src/records.ts
+++ b/packages/graph-service/src/records.ts
@@ -21,6 +21,14 @@
   return batchPrefix(id) + batch;
 }
 
+export function notePrefix(id: GraphId): string {
+  return `${GRAPH_PREFIX}${id}/n/`;
+}
+
+export function noteKey(id: GraphId, note: string): string {
+  return notePrefix(id) + note;
+}
+
 export function openKey(team: string, id: GraphId): string {
   return `${OPEN_PREFIX}${encodeURIComponent(team)}/${id}`;
 }
--- a/packages/graph-service/src/room.ts
+++ b/packages/graph-service/src/room.ts
@@ -19,7 +19,7 @@
   TaskShape,
   Version,
 } from '@spurbridge/wire';
-import { ABSENT, graphTaskId, splitTaskId } from '@spurbridge/wire';
+import { ABSENT, graphTaskId, parseResultNote, splitTaskId } from '@spurbridge/wire';
 import type { HeadRecord, KeptBatch, Part, StateRecord } from './records.js';
 import {
   GRAPH_PREFIX,
@@ -31,6 +31,7 @@
   decodeState,
   encodeHead,
   headKey,
+  notePrefix,
   openKey,
   stateKey,
   statePrefix,
@@ -69,6 +70,8 @@
   /** Batches whose records are behind, and those of them that are being written. */
   readonly dirty: Set<BatchId>;
   readonly writing: Set<BatchId>;
+  /** Notes on results that were acted on, and are to be deleted once that is durable. */
+  readonly notes: Set<string>;
 }
 
 /**
@@ -180,7 +183,14 @@
     if (head.outcome === 'absent') return true;
     const batches = await store.list(batchPrefix(id), 1);
     const states = await store.list(statePrefix(id), 1);
-    if (head.outcome !== 'found' || batches.outcome !== 'listed' || states.outcome !== 'listed') return false;
+    const notes = await store.list(notePrefix(id), 1);
+    if (
+      head.outcome !== 'found' ||
+      batches.outcome !== 'listed' ||
+      states.outcome !== 'listed' ||
+      notes.outcome !== 'listed'
+    )
+      return false;
     const record = decodeHead(head.item.value);
     const stateOf = new Map<string, { record: StateRecord; version: Version }>(
       states.items.map((s) => [
@@ -207,13 +217,18 @@
       cotasks: new Map(),
       dirty: new Set(),
       writing: new Set(),
+      notes: new Set(),
     };
     this.open.set(id, o);
-    if (record.tally !== null) return true;
+    if (record.tally !== null) {
+      for (const item of notes.items) o.notes.add(item.key);
+      return true;
+    }
     for (const [batch, s] of stateOf)
       for (const part of s.record.parts) this.recall(o, batch as BatchId, part);
     this.settleRestored(o);
     this.applyCancellations(o);
+    for (const item of notes.items) this.learnNote(id, item);
     return true;
   }
 
@@ -270,10 +285,11 @@
       } else if (seen.outcome === 'compacted') {
         const all = await store.list(GRAPH_PREFIX, 0);
         if (all.outcome !== 'listed') continue;
-        const heads = all.items.filter((i) => !i.key.includes('/b/'));
+        const heads = all.items.filter((i) => i.key.split('/').length === 2);
         const batches = all.items.filter((i) => i.key.includes('/b/'));
+        const notes = all.items.filter((i) => i.key.includes('/n/'));
         batches.sort((a, b) => decodeBatch(a.value).order - decodeBatch(b.value).order);
-        for (const item of [...heads, ...batches]) this.learn(item);
+        for (const item of [...heads, ...batches, ...notes]) this.learn(item);
         this.from = all.revision;
         this.freshAt = askedAt;
         this.signal.raise();
@@ -286,7 +302,8 @@
     try {
       const [, id, kind] = item.key.split('/');
       if (kind === undefined) this.learnHead(id as GraphId, decodeHead(item.value), item.version);
-      else this.learnBatch(id as GraphId, decodeBatch(item.value));
+      else if (kind === 'b') this.learnBatch(id as GraphId, decodeBatch(item.value));
+      else this.learnNote(id as GraphId, item);
     } catch (e) {
       this.tenure.c.log.error({ key: item.key, error: String(e) }, 'graph record cannot be read');
     }
@@ -305,6 +322,7 @@
         cotasks: new Map(),
         dirty: new Set(),
         writing: new Set(),
+        notes: new Set(),
       };
       this.open.set(id, o);
     } else if (version > o.version) {
@@ -322,6 +340,17 @@
     this.applyCancellations(o);
   }
 
+  private learnNote(id: GraphId, item: Item): void {
+    const o = this.open.get(id);
+    const note = parseResultNote(item.value);
+    if (o === undefined || o.head.tally !== null || o.notes.has(item.key)) return;
+    for (const t of note.lost) o.graph.lost(t);
+    for (const t of note.hold) o.graph.hold(t, true);
+    for (const t of note.release) o.graph.hold(t, false);
+    o.notes.add(item.key);
+    this.note(o);
+  }
+
   private applyCancellations(o: Open): void {
     if (o.head.tally !== null) return;
     const known = o.head.cancelled.filter((c) => o.graph.has(splitTaskId(c.task).batch));
@@ -399,6 +428,8 @@
           if (!this.tenure.active) return;
           await this.writeStates(o);
           if (!this.tenure.active) return;
+          await this.deleteNotes(o);
+          if (!this.tenure.active) return;
           if (this.isOver(o)) await this.finish(o);
           if (!this.tenure.active) return;
         }
@@ -477,6 +508,20 @@
     }
   }
 
+  /** What notes asked for is durable: they go. Acted on again by a new leader, they do no harm. */
+  private async deleteNotes(o: Open): Promise<void> {
+    const { store, leadership, settings } = this.tenure.c;
+    const due = [...o.notes].slice(0, settings.state.txnOps);
+    if (due.length === 0 || o.dirty.size > 0) return;
+    const outcome = await store.commit(
+      [leadership.condition()],
+      due.map((key) => ({ delete: key })),
+      3,
+    );
+    if (outcome.outcome === 'committed') for (const key of due) o.notes.delete(key);
+    else await this.failed(o, outcome);
+  }
+
   /** Ready tasks of one shape become a cotask: job and assignment in one commit, or neither. */
   private async submitReady(o: Open): Promise<void> {
     const { store, leadership, settings, clock, wallNow, log } = this.tenure.c;
@@ -626,7 +671,12 @@
     if (o.head.tally !== null) return true;
     const ends = o.head.phase === 'sealed' || o.head.phase === 'cancelled';
     return (
-      ends && o.graph.isSettled && o.graph.size === o.head.tasks && o.dirty.size === 0 && o.parts.size === 0
+      ends &&
+      o.graph.isSettled &&
+      o.graph.size === o.head.tasks &&
+      o.dirty.size === 0 &&
+      o.parts.size === 0 &&
+      o.notes.size === 0
     );
   }
 
@@ -654,7 +704,10 @@
       o.version = outcome.revision as number as Version;
       log.info({ graph: head.id, phase, done, failed, cancelled }, 'graph over');
     }
-    const keys = [...o.batches.keys()].flatMap((b) => [stateKey(head.id, b), batchKey(head.id, b)]);
+    const keys = [
+      ...o.notes,
+      ...[...o.batches.keys()].flatMap((b) => [stateKey(head.id, b), batchKey(head.id, b)]),
+    ];
     // The list of open graphs comes last: until then a new leader goes on tidying.
     keys.push(openKey(head.team, head.id));
     for (let n = 0; n < keys.length; n += settings.state.txnOps) {
--- a/packages/graph-service/src/routes.ts
+++ b/packages/graph-service/src/routes.ts
@@ -20,8 +20,14 @@
   app.post(GRAPHS, (q, reply) => send(reply, () => graphs.create(q.body)));
   app.get<Path>(`${GRAPHS}/:id`, (q, reply) => send(reply, () => graphs.status(q.params.id)));
   app.post<Path>(`${GRAPHS}/:id/tasks`, (q, reply) => send(reply, () => graphs.add(q.params.id, q.body)));
+  app.post<Path>(`${GRAPHS}/:id/results`, (q, reply) =>
+    send(reply, () => graphs.results(q.params.id, q.body)),
+  );
   app.post<Path>(`${GRAPHS}/:id/seal`, (q, reply) => send(reply, () => graphs.seal(q.params.id)));
   app.post<Path>(`${GRAPHS}/:id/cancel`, (q, reply) => send(reply, () => graphs.cancel(q.params.id, q.body)));
+  app.get<{ Params: { id: string; task: string } }>(`${GRAPHS}/:id/failures/:task`, (q, reply) =>
+    send(reply, () => graphs.failure(q.params.id, q.params.task)),
+  );
   app.get<{ Params: { id: string; batch: string }; Querystring: { from?: string } }>(
     `${GRAPHS}/:id/tasks/:batch`,
     (q, reply) =>
--- a/packages/graph-service/src/service.ts
+++ b/packages/graph-service/src/service.ts
@@ -14,21 +14,25 @@
 import {
   ABSENT,
   MalformedError,
+  graphTaskId,
   isGraphId,
   parseBatch,
   parseGraphHead,
+  parseResultNote,
   read,
   splitTaskId,
 } from '@spurbridge/wire';
 import type { HeadRecord, KeptBatch } from './records.js';
 import {
   batchKey,
+  batchPrefix,
   decodeBatch,
   decodeHead,
   decodeState,
   encodeBatch,
   encodeHead,
   headKey,
+  noteKey,
   openKey,
   OPEN_PREFIX,
   stateKey,
@@ -252,12 +256,8 @@
         r.phase === 'open' || r.phase === 'sealed' ? { ...r, phase: 'cancelled' } : null,
       );
     const tasks = names as GraphTaskId[];
-    for (const [i, t] of tasks.entries()) {
-      const b = isGraphId(id) ? await this.lookUp(id, splitTaskId(t).batch) : null;
-      if (b !== null && 'code' in b) return b;
-      if (b === null || !(splitTaskId(t).task < b.size))
-        return { code: 400, error: `tasks[${i}]: expected a task of ${id}, and ${t} is none` };
-    }
+    const missing = isGraphId(id) ? await this.missing(id, tasks, 'tasks') : NONE;
+    if (missing !== null) return missing;
     return this.change(id, (r) => {
       if (r.phase !== 'open' && r.phase !== 'sealed') return null;
       const added = tasks.filter(
@@ -273,6 +273,56 @@
     });
   }
 
+  /**
+   * Takes note of results that are lost, held or let go: the leader acts on it.
+   *
+   * @throws MalformedError naming the field
+   */
+  async results(id: string, body: unknown): Promise<GraphAnswer> {
+    const note = parseResultNote(body);
+    const found = await this.head(id);
+    if ('code' in found) return found;
+    const { record } = found;
+    if (record.phase !== 'open' && record.phase !== 'sealed')
+      return { code: 409, error: `graph: ${id} is ${record.phase}` };
+    for (const [field, tasks] of Object.entries({
+      lost: note.lost,
+      hold: note.hold,
+      release: note.release,
+    })) {
+      const missing = await this.missing(record.head.id, tasks, field);
+      if (missing !== null) return missing;
+    }
+    const key = noteKey(record.head.id, note.id);
+    const outcome = await this.store.commit(
+      [
+        { key: headKey(record.head.id), version: found.version },
+        { key, version: ABSENT },
+      ],
+      [{ put: key, value: { note: note.id, lost: note.lost, hold: note.hold, release: note.release } }],
+      1,
+    );
+    if (outcome.outcome === 'committed') return { code: 201, body: { note: note.id } };
+    if (outcome.outcome === 'conflict' && outcome.failed.includes(key))
+      return { code: 200, body: { note: note.id } };
+    return unsure('the state service did not confirm');
+  }
+
+  /** The answer where one of the tasks is not there, or null. */
+  private async missing(
+    id: GraphId,
+    tasks: readonly GraphTaskId[],
+    field: string,
+  ): Promise<GraphAnswer | null> {
+    for (const [i, t] of tasks.entries()) {
+      const b = await this.lookUp(id, splitTaskId(t).batch);
+      if (b !== null && 'code' in b) return b;
+      if (b === null || splitTaskId(t).task >= b.size)
+        return { code: 400, error: `${field}[${i}]: expected a task of ${id}, and ${t} is none` };
+    }
+    return null;
+  }
+
   private async change(
     id: string,
     next: (r: HeadRecord) => HeadRecord | GraphAnswer | null,
@@ -313,6 +363,39 @@
     return { code: 200, body: { ...headBody(record), ...counts } };
   }
 
+  /** Why a task failed, and from which task that came, link by link. */
+  async failure(id: string, task: string): Promise<GraphAnswer> {
+    const found = await this.head(id);
+    if ('code' in found) return found;
+    const graph = found.record.head.id;
+    const batches = await this.store.list(batchPrefix(graph), 2);
+    const states = await this.store.list(statePrefix(graph), 2);
+    if (batches.outcome !== 'listed' || states.outcome !== 'listed')
+      return unsure('the state service does not answer');
+    const stateOf = new Map(
+      states.items.map((s) => [s.key.slice(statePrefix(graph).length), decodeState(s.value)]),
+    );
+    const names: GraphTaskId[] = [];
+    const kept = batches.items.map((b) => decodeBatch(b.value)).sort((a, b) => a.order - b.order);
+    for (const b of kept) b.batch.tasks.forEach((_, n) => names.push(graphTaskId(b.batch.id, n)));
+    let at = names.indexOf(task as GraphTaskId);
+    if (at < 0) return { code: 404, error: 'no such task' };
+    const why = (i: number): { kind: number; by: number } => {
+      const on = splitTaskId(names[i] as GraphTaskId);
+      const s = stateOf.get(on.batch);
+      const of = (list: readonly (readonly [number, number])[] | undefined): number =>
+        list?.find(([n]) => n === on.task)?.[1] ?? -1;
+      return { kind: of(s?.failures), by: of(s?.endedBy) };
+    };
+    const first = why(at);
+    const chain = [names[at]];
+    while (chain.length < MOST_CHAIN && why(at).by >= 0) {
+      at = why(at).by;
+      chain.unshift(names[at]);
+    }
+    return { code: 200, body: { task, failure: FAILURE_NAMES[first.kind - 1] ?? null, chain } };
+  }
+
   /** States of a batch's tasks, a page at a time. */
   async tasks(id: string, batch: string, from: number): Promise<GraphAnswer> {
     const found = await this.head(id);
@@ -333,6 +416,8 @@
   }
 }
 
+const FAILURE_NAMES = ['error', 'upstream', 'lineage'];
+const MOST_CHAIN = 1000;
 const STATE_NAMES = ['waiting', 'ready', 'running', 'cancelling', 'done', 'failed', 'cancelled'];
 
 function headBody(r: HeadRecord): Record<string, unknown> {
--- a/packages/graph-service/test/service.test.ts
+++ b/packages/graph-service/test/service.test.ts
@@ -290,6 +290,28 @@
   assert.deepEqual(site.w.checker.broken, []);
 });
 
+test('a lost result of a shared parent runs it again once, also when the leader falls right after the note', async () => {
+  const site = await begun();
+  await site.add('a', [[0], [1, [0]], [1, [0]]], null, [SHAPE, { ...SHAPE, estimateS: 20 }]);
+  for (let at = 4; at < 60 && !site.ran.some((r) => r.task === 'a:0' && r.done); at += 1)
+    await site.w.run(at * 1000);
+  const note = { note: 'n1', lost: ['a:0'] };
+  assert.equal((await site.ask((s) => s.results(ID, note))).code, 201);
+  assert.equal((await site.ask((s) => s.results(ID, note), 1)).code, 200);
+  assert.equal((await site.ask((s) => s.results(ID, { note: 'n2', lost: ['a:9'] }))).code, 400);
+  for (let i = 0; i < 3; i += 1)
+    if (site.w.nodes[i]?.controller.leadership.holdsSurely() === true) site.w.crash(i);
+  await site.w.run(site.w.time.now + 90_000);
+  await site.ask((s) => s.seal(ID));
+  await site.w.run(site.w.time.now + 60_000);
+  // Those that had started have what they need and go on; the parent ran once more, for what was still to start.
+  const runs = site.ran.filter((r) => r.task === 'a:0' && r.done && r.until - r.since > 10).length;
+  assert.ok(runs >= 1 && runs <= 2, `${runs} runs`);
+  assert.equal(site.phase, 'done');
+  site.assertFolded();
+  assert.deepEqual(site.w.checker.broken, []);
+});
+
 test('a subtree is cancelled with what it spawned; the rest of the graph ends', async () => {
   const site = await begun();
   await site.add('a', [[1], [0], [0, [1]]], null, [SHAPE, { ...SHAPE, estimateS: 60 }]);
--- a/packages/wire/src/graphs.ts
+++ b/packages/wire/src/graphs.ts
@@ -169,6 +169,30 @@
   };
 }
 
+/** What a client knows of results: which are lost, and which it holds on to or lets go of. */
+export interface ResultNote {
+  /** Unique within the graph; the same note again is the same. */
+  readonly id: string;
+  readonly lost: readonly GraphTaskId[];
+  readonly hold: readonly GraphTaskId[];
+  readonly release: readonly GraphTaskId[];
+}
+
+const MOST_NOTED = 200;
+
+/** Checks a note on results; the error names the field. */
+export function parseResultNote(body: unknown): ResultNote {
+  const o = r.asObject(body, 'body');
+  const id = r.str(o, 'note');
+  if (!BATCH_ID.test(id)) throw new r.MalformedError('note', 'a note id');
+  const listed = (field: string): GraphTaskId[] => {
+    const all = r.optNames(o, field) ?? [];
+    if (all.length > MOST_NOTED) throw new r.MalformedError(field, `at most ${MOST_NOTED} tasks`);
+    return all.map((t, i) => taskId(t, `${field}[${i}]`));
+  };
+  return { id, lost: listed('lost'), hold: listed('hold'), release: listed('release') };
+}
+
 /** The batch as it is sent and kept; `parseBatch` reads it back. */
 export function formatBatch(b: Batch): Record<string, unknown> {
   return {
