--- a/packages/graph-service/src/room.ts
+++ b/packages/graph-service/src/room.ts
@@ -50,6 +50,7 @@
 /** Tasks of one graph that are with the scheduler at a time: more would only lengthen its queues. */
 const MOST_SUBMITTED = 2000;
 const MOST_COTASK = 200;
+const GUARANTEE_PARTS = 8;
 const MOST_FAILURES = 10;
 
 interface Kept {
@@ -537,7 +538,7 @@
       const tasks: GraphTaskId[] = [];
       let bytes = 0;
       for (const id of ready) {
-        if (tasks.length >= Math.min(MOST_COTASK, room)) break;
+        if (tasks.length >= Math.min(this.widest(o, shape), room)) break;
         if (JSON.stringify(o.graph.shape(id)) !== like) continue;
         const { batch } = splitTaskId(id);
         if (!batches.has(batch)) {
@@ -654,6 +655,16 @@
     return null;
   }
 
+  /**
+   * Tasks of one cotask: no more than an eighth of what the team is guaranteed takes. A guarantee goes to whole
+   * jobs that fit into it: handed over as one array a stage would have none, and in large pieces a part of it.
+   */
+  private widest(o: Open, shape: TaskShape): number {
+    const team = this.tenure.c.settings.teams.find((t) => t.name === o.head.head.team);
+    if (team === undefined || team.cpus <= 0 || shape.cpus <= 0) return MOST_COTASK;
+    return Math.max(1, Math.min(MOST_COTASK, Math.floor(team.cpus / GUARANTEE_PARTS / shape.cpus)));
+  }
+
   private withdraw(o: Open, tasks: readonly GraphTaskId[]): void {
     for (const id of tasks) {
       o.parts.delete(id);
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,4 +1,6 @@
 import { Command } from 'commander';
+import type { GraphsPart } from './graphs.js';
+import { graphsPart, measureGraphs } from './graphs.js';
 import { measureTariff, tariffPart } from './tariff.js';
 import type { Pair } from './tariff.js';
 
@@ -14,6 +16,11 @@
     all: measureTariff,
     part: (p) => tariffPart(p as Pair),
   },
+  graphs: {
+    what: 'task graphs: fairness, orders, takeovers, scale',
+    all: measureGraphs,
+    part: (p) => graphsPart(p as GraphsPart),
+  },
 };
 
 new Command('measure')
--- a/packages/measure/src/parallel.ts
+++ b/packages/measure/src/parallel.ts
@@ -7,9 +7,13 @@
 /** One part of a measurement in a process of its own; its last line is the result. */
 function runPart(name: string, part: unknown): Promise<unknown> {
   return new Promise((resolve, reject) => {
-    const child = spawn(process.execPath, ['--import', 'tsx', MAIN, name, '--part', JSON.stringify(part)], {
-      stdio: ['ignore', 'pipe', 'inherit'],
-    });
+    const child = spawn(
+      process.execPath,
+      ['--expose-gc', '--import', 'tsx', MAIN, name, '--part', JSON.stringify(part)],
+      {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      },
+    );
     const chunks: Buffer[] = [];
     child.stdout.on('data', (c: Buffer) => chunks.push(c));
     child.once('error', reject);
