One piece each for following records, losing the lead, opening a graph and numeric flags

Found on rereading: the jobs' records and the graphs' were watched by two copies of one loop with the same rule of freshness; "a conditioned write failed: another leads" stood in four places; an open graph's state was written out twice; both added programs made numbers of flags and variables in their own way; the tariff's room asked for a team's capacity once for each waiting job, and a sum, a field and a number passed as an unknown were left from earlier. `Following`, `Leadership.isLostBy`, `opened`, `numberFlag` now serve both sides.

--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -8,6 +8,7 @@
 export * from './estimates.js';
 export { Cluster, compareIds } from './cluster.js';
 export type { ClusterEvents, Held } from './cluster.js';
+export { Following } from './following.js';
 export { Tenure } from './tenure.js';
 export type { LeaderContext, Room, RoomFactory } from './tenure.js';
 export { Signal } from './signal.js';
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -2,6 +2,7 @@
 import { chunkKey, encodeChunk, encodeJob, jobKey } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
+import type { CommitOutcome } from '@spurbridge/store';
 import type { Attempt, Change, Condition, Item, JobId, Version } from '@spurbridge/wire';
 import { ABSENT } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
@@ -255,19 +256,15 @@
 
   /** Refused: later. Unknown or conflicting: the versions may have moved, so they are read again. */
   private async failed(
-    outcome: { readonly outcome: string; readonly failed?: readonly string[] },
+    outcome: CommitOutcome,
     touched: readonly { key: string; job: Job; chunk: Chunk | null }[],
   ): Promise<void> {
     const { store, leadership, clock } = this.tenure.c;
-    const leaderKey = leadership.condition().key;
-    if (outcome.outcome === 'conflict' && outcome.failed?.includes(leaderKey) === true) {
-      leadership.lost('a conditioned write failed');
-      return;
-    }
+    if (leadership.isLostBy(outcome)) return;
     this.backOffUntil = later(clock.now(), 120);
     if (outcome.outcome !== 'conflict') return;
     for (const t of touched) {
-      if (outcome.failed !== undefined && !outcome.failed.includes(t.key)) continue;
+      if (!outcome.failed.includes(t.key)) continue;
       const found = await store.read(t.key, 1);
       if (!this.tenure.active) return;
       if (found.outcome === 'found') {
--- a/packages/daemon/src/main-graphs.ts
+++ b/packages/daemon/src/main-graphs.ts
@@ -1,17 +1,10 @@
 import { GRAPH_LIMITS, GraphService, graphRoom, graphRoutes } from '@spurbridge/graph-service';
-import { InvalidArgumentError, Option } from 'commander';
+import type { Option } from 'commander';
 import { runDaemon } from './daemon.js';
-
-function count(text: string): number {
-  const n = Number(text);
-  if (!Number.isInteger(n) || n < 1)
-    throw new InvalidArgumentError('a whole number of at least 1 is expected');
-  return n;
-}
+import { numberFlag } from './flags.js';
 
 function limit(name: string, what: string, byDefault: number): Option {
-  const variable = `SPURBRIDGE_${name.toUpperCase().replaceAll('-', '_')}`;
-  return new Option(`--${name} <number>`, what).argParser(count).default(byDefault).env(variable);
+  return numberFlag(name, what, byDefault, 1, Infinity, true);
 }
 
 let limits = GRAPH_LIMITS;
--- a/packages/daemon/src/main-tariff.ts
+++ b/packages/daemon/src/main-tariff.ts
@@ -5,9 +5,10 @@
 import type { TariffDocument } from '@spurbridge/wire';
 import { parseTariff } from '@spurbridge/wire';
 import type { Command } from 'commander';
-import { InvalidArgumentError, Option } from 'commander';
+import { Option } from 'commander';
 import { parse } from 'smol-toml';
 import { runDaemon } from './daemon.js';
+import { numberFlag } from './flags.js';
 import { SettingsError } from './settings.js';
 
 interface TariffFlags {
@@ -22,23 +23,6 @@
   readonly tariffClasses?: string;
 }
 
-function within(least: number, most: number): (text: string) => number {
-  return (text) => {
-    const n = Number(text);
-    if (text.trim() === '' || !(n >= least && n <= most))
-      throw new InvalidArgumentError(`a number from ${least} to ${most} is expected`);
-    return n;
-  };
-}
-
-function number(name: string, what: string, byDefault: number, least: number, most: number): Option {
-  const variable = `SPURBRIDGE_${name.toUpperCase().replaceAll('-', '_')}`;
-  return new Option(`--${name} <number>`, what)
-    .argParser(within(least, most))
-    .default(byDefault)
-    .env(variable);
-}
-
 function flags(program: Command): void {
   const d = TARIFF_DEFAULTS;
   program
@@ -51,16 +35,22 @@
         'SPURBRIDGE_TARIFF_CLASSES',
       ),
     )
-    .addOption(number('tariff-carbon', 'weight of carbon against price', d.carbonShare, 0, 1))
+    .addOption(numberFlag('tariff-carbon', 'weight of carbon against price', d.carbonShare, 0, 1))
     .addOption(
-      number('tariff-pattern-h', 'hours for which windows outlive their tariff', d.patternS / 3600, 0, 720),
+      numberFlag(
+        'tariff-pattern-h',
+        'hours for which windows outlive their tariff',
+        d.patternS / 3600,
+        0,
+        720,
+      ),
     )
-    .addOption(number('tariff-silent-s', 'seconds after which a feed counts as silent', 3600, 1, 604_800))
-    .addOption(number('tariff-saving', 'share of its cost that a wait must save', d.leastSaving, 0, 1))
+    .addOption(numberFlag('tariff-silent-s', 'seconds after which a feed counts as silent', 3600, 1, 604_800))
+    .addOption(numberFlag('tariff-saving', 'share of its cost that a wait must save', d.leastSaving, 0, 1))
     .addOption(
-      number('tariff-probability', 'share of run times to be safe against', d.probability, 0.5, 0.9999),
+      numberFlag('tariff-probability', 'share of run times to be safe against', d.probability, 0.5, 0.9999),
     )
-    .addOption(number('tariff-spare-runs', 'lost runs of a task to be safe against', d.spareRuns, 0, 10));
+    .addOption(numberFlag('tariff-spare-runs', 'lost runs of a task to be safe against', d.spareRuns, 0, 10));
 }
 
 /** An empty variable is one that is not set. */
--- a/packages/graph-service/src/room.ts
+++ b/packages/graph-service/src/room.ts
@@ -1,10 +1,8 @@
 import type { Cluster, Room, RoomFactory, Tenure } from '@spurbridge/controller';
-import { Signal, answerHorizonMs } from '@spurbridge/controller';
+import { Following, Signal } from '@spurbridge/controller';
 import { Graph } from '@spurbridge/graph';
 import type { Job, JobRecord } from '@spurbridge/model';
 import { JOB_PREFIX, chunkSizeFor, encodeJob, jobKey } from '@spurbridge/model';
-import type { Ms } from '@spurbridge/net';
-import { later } from '@spurbridge/net';
 import type { CommitOutcome } from '@spurbridge/store';
 import type {
   BatchId,
@@ -38,11 +36,8 @@
 } from './records.js';
 import { specLike } from './service.js';
 
-const WATCH_MS = 2000;
 const GAP_MS = 100;
 const RETRY_MS = 200;
-/** Before its first load a leader keeps the workers alive for this long at most. */
-const LOAD_MS = 5000;
 /** What a batch's state takes at the most, for each of its tasks and beside them. */
 const TASK_BYTES = 36;
 const BATCH_BYTES = 300;
@@ -75,6 +70,20 @@
   readonly notes: Set<string>;
 }
 
+function opened(head: HeadRecord, version: Version, graph: Graph): Open {
+  return {
+    head,
+    version,
+    graph,
+    batches: new Map(),
+    parts: new Map(),
+    cotasks: new Map(),
+    dirty: new Set(),
+    writing: new Set(),
+    notes: new Set(),
+  };
+}
+
 /**
  * A cotask's job id: no user's, who name theirs otherwise, and never used again, since a worker that remembers
  * a task by its name would answer for another one. The cotask's name holds its leader's token.
@@ -97,14 +106,14 @@
   private cotasks = 0;
   /** Cotasks of which it is not known whether their commit was executed. */
   private readonly unsure = new Set<JobId>();
-  private freshAt: Ms;
+  private readonly following: Following;
   private from: Revision | null = null;
 
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
   ) {
-    this.freshAt = later(tenure.electedAt, LOAD_MS - answerHorizonMs(tenure.c.settings));
+    this.following = new Following(tenure, GRAPH_PREFIX);
     cluster.on('off', (job, p, done, why) => {
       this.onOff(job, p.task, done, why);
     });
@@ -139,8 +148,7 @@
 
   /** Cancellations of graphs that were confirmed to a client are known, as those of jobs must be. */
   get isFresh(): boolean {
-    const { clock, settings } = this.tenure.c;
-    return clock.now() - this.freshAt <= answerHorizonMs(settings);
+    return this.following.isFresh;
   }
 
   async restore(): Promise<void> {
@@ -154,7 +162,7 @@
         for (const item of open.items)
           good = good && (await this.load(item.key.slice(item.key.lastIndexOf('/') + 1) as GraphId));
       if (good && open.outcome === 'listed' && jobs.outcome === 'listed') {
-        this.freshAt = askedAt;
+        this.following.readAt(askedAt);
         this.from = open.revision;
         // What is left of cotasks that were over before anybody tidied up.
         for (const item of jobs.items) {
@@ -200,26 +208,17 @@
       ]),
     );
     const kept = batches.items.map((b) => decodeBatch(b.value)).sort((a, b) => a.order - b.order);
-    const o: Open = {
-      head: record,
-      version: head.item.version,
-      // One that is over may have lost some of its records already.
-      graph:
-        record.tally !== null
-          ? new Graph(id)
-          : Graph.restore(
-              id,
-              kept.map((b) => ({ batch: b.batch, record: stateOf.get(b.batch.id)?.record ?? null })),
-            ),
-      batches: new Map(
-        kept.map((b) => [b.batch.id, { batch: b, version: stateOf.get(b.batch.id)?.version ?? ABSENT }]),
-      ),
-      parts: new Map(),
-      cotasks: new Map(),
-      dirty: new Set(),
-      writing: new Set(),
-      notes: new Set(),
-    };
+    // One that is over may have lost some of its records already.
+    const graph =
+      record.tally !== null
+        ? new Graph(id)
+        : Graph.restore(
+            id,
+            kept.map((b) => ({ batch: b.batch, record: stateOf.get(b.batch.id)?.record ?? null })),
+          );
+    const o = opened(record, head.item.version, graph);
+    for (const b of kept)
+      o.batches.set(b.batch.id, { batch: b, version: stateOf.get(b.batch.id)?.version ?? ABSENT });
     this.open.set(id, o);
     if (record.tally !== null) {
       for (const item of notes.items) o.notes.add(item.key);
@@ -272,30 +271,11 @@
   }
 
   private async watch(): Promise<void> {
-    const { clock, store } = this.tenure.c;
-    while (this.tenure.active && this.from !== null) {
-      const askedAt = clock.now();
-      const seen = await store.watch(GRAPH_PREFIX, this.from, WATCH_MS);
-      if (!this.tenure.active) return;
-      if (seen.outcome === 'events') {
-        for (const e of seen.events)
-          if ('put' in e) this.learn({ key: e.put, value: e.value, version: e.version });
-        this.from = seen.revision;
-        this.freshAt = askedAt;
-        if (seen.events.length > 0) this.signal.raise();
-      } else if (seen.outcome === 'compacted') {
-        const all = await store.list(GRAPH_PREFIX, 0);
-        if (all.outcome !== 'listed') continue;
-        const heads = all.items.filter((i) => i.key.split('/').length === 2);
-        const batches = all.items.filter((i) => i.key.includes('/b/'));
-        const notes = all.items.filter((i) => i.key.includes('/n/'));
-        batches.sort((a, b) => decodeBatch(a.value).order - decodeBatch(b.value).order);
-        for (const item of [...heads, ...batches, ...notes]) this.learn(item);
-        this.from = all.revision;
-        this.freshAt = askedAt;
-        this.signal.raise();
-      } else await clock.sleep(150);
-    }
+    if (this.from === null) return;
+    await this.following.run(this.from, (items, whole) => {
+      for (const item of whole ? inOrder(items) : items) this.learn(item);
+      this.signal.raise();
+    });
   }
 
   /** Takes in a head or a batch, from a list or a watch. */
@@ -314,17 +294,7 @@
     let o = this.open.get(id);
     if (o === undefined) {
       if (record.tally !== null) return;
-      o = {
-        head: record,
-        version,
-        graph: new Graph(id),
-        batches: new Map(),
-        parts: new Map(),
-        cotasks: new Map(),
-        dirty: new Set(),
-        writing: new Set(),
-        notes: new Set(),
-      };
+      o = opened(record, version, new Graph(id));
       this.open.set(id, o);
     } else if (version > o.version) {
       o.head = record;
@@ -647,10 +617,7 @@
         o.graph.submit(id);
         o.parts.set(id, { cotask, piece });
       });
-      if (outcome.outcome === 'conflict' && outcome.failed.includes(leadership.condition().key)) {
-        leadership.lost('a conditioned write failed');
-        return null;
-      }
+      if (leadership.isLostBy(outcome)) return null;
     }
     return null;
   }
@@ -754,11 +721,8 @@
   /** Refused: later. Unknown or conflicting: an earlier write may have been executed, so it is read again. */
   private async failed(o: Open, outcome: CommitOutcome): Promise<void> {
     const { store, leadership, clock } = this.tenure.c;
+    if (leadership.isLostBy(outcome)) return;
     if (outcome.outcome === 'conflict') {
-      if (outcome.failed.includes(leadership.condition().key)) {
-        leadership.lost('a conditioned write failed');
-        return;
-      }
       for (const key of outcome.failed) {
         const found = await store.read(key, 1);
         if (!this.tenure.active) return;
@@ -775,6 +739,18 @@
   }
 }
 
+/** Heads, then batches as they came, then notes: none of them refers to a later one. */
+function inOrder(items: readonly Item[]): Item[] {
+  const rank = (i: Item): number => {
+    if (i.key.includes('/n/')) return Infinity;
+    return i.key.includes('/b/') ? decodeBatch(i.value).order : -1;
+  };
+  return items
+    .map((item) => ({ item, rank: rank(item) }))
+    .sort((a, b) => (a.rank === b.rank ? 0 : a.rank - b.rank))
+    .map((x) => x.item);
+}
+
 function cotaskPrefix(): string {
   return 'wk-.gr-';
 }
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -2,7 +2,7 @@
 import { later } from '@spurbridge/net';
 import type { LeaseId, NodeId, Token, Version } from '@spurbridge/wire';
 import { ABSENT, read } from '@spurbridge/wire';
-import type { StateStore } from './client.js';
+import type { CommitOutcome, StateStore } from './client.js';
 
 export const LEADER_KEY = 'leader';
 const TTL_MS = 3000;
@@ -127,6 +127,13 @@
     if (this.current === 'leading' || this.current === 'holding') this.enter('following', reason);
   }
 
+  /** Whether a write conditioned on this leadership failed because another node has led: then it is given up. */
+  isLostBy(outcome: CommitOutcome): boolean {
+    if (outcome.outcome !== 'conflict' || !outcome.failed.includes(LEADER_KEY)) return false;
+    this.lost('a conditioned write failed');
+    return true;
+  }
+
   async run(): Promise<never> {
     for (;;) {
       if (this.current === 'leading' || this.current === 'holding') await this.renew();
--- a/packages/tariff/src/capacity.ts
+++ b/packages/tariff/src/capacity.ts
@@ -50,6 +50,11 @@
     return u === undefined ? 0 : u.services + u.urgent;
   }
 
+  /** The most CPUs that were seen, as far as that is not forgotten. */
+  get peak(): number {
+    return this.peakCpus;
+  }
+
   get pool(): number {
     let used = 0;
     for (const name of this.uses.keys()) used += this.used(name);
--- a/packages/tariff/src/keeper.ts
+++ b/packages/tariff/src/keeper.ts
@@ -128,12 +128,12 @@
       changes.push({ put: key, value: times.encode() });
       done.push(times);
     }
-    const { peakCpus } = this.capacity.encode();
-    if (Math.abs(Number(peakCpus) - this.keptPeak) > this.keptPeak * 0.02)
+    const { peak } = this.capacity;
+    if (Math.abs(peak - this.keptPeak) > this.keptPeak * 0.02)
       changes.push({ put: CAPACITY, value: this.capacity.encode() });
     if (changes.length === 0) return;
     for (const times of done) times.changed = false;
-    if (await this.write(changes)) this.keptPeak = Number(peakCpus);
+    if (await this.write(changes)) this.keptPeak = peak;
     else for (const times of done) times.changed = true;
   }
 
@@ -197,16 +197,13 @@
   /** A conflict: an earlier write whose answer was lost may have been executed, so versions are read again. */
   private async reread(outcome: CommitOutcome, set: (key: string, version: Version) => void): Promise<void> {
     const { store, leadership, clock } = this.tenure.c;
-    if (outcome.outcome === 'conflict') {
-      if (outcome.failed.includes(leadership.condition().key)) {
-        leadership.lost('a conditioned write failed');
-        return;
-      }
+    if (leadership.isLostBy(outcome)) return;
+    if (outcome.outcome === 'conflict')
       for (const key of outcome.failed) {
         const found = await store.read(key, URGENCY);
         if (found.outcome === 'found') set(key, found.item.version);
         else if (found.outcome === 'absent') set(key, ABSENT);
       }
-    } else await clock.sleep(RETRY_MS);
+    else await clock.sleep(RETRY_MS);
   }
 }
--- a/packages/tariff/src/outlook.ts
+++ b/packages/tariff/src/outlook.ts
@@ -1,6 +1,6 @@
 import type { WallMs } from '@spurbridge/model';
 import type { TariffDocument } from '@spurbridge/wire';
-import type { Certainty, Series } from './calendar.js';
+import type { Series } from './calendar.js';
 import { expand } from './calendar.js';
 
 const AGAIN_MS = 600_000;
@@ -10,7 +10,6 @@
 export interface Costs {
   readonly starts: readonly WallMs[];
   readonly until: WallMs;
-  readonly certainty: readonly Certainty[];
   readonly cost: readonly Float64Array[];
 }
 
@@ -63,6 +62,6 @@
       zone.forEach((c, i) => {
         mean[i] = (mean[i] as number) + c / zones.length;
       });
-    return { starts: s.starts, until: s.until, certainty: s.certainty, cost: [mean, ...zones] };
+    return { starts: s.starts, until: s.until, cost: [mean, ...zones] };
   }
 }
--- a/packages/tariff/src/release.ts
+++ b/packages/tariff/src/release.ts
@@ -151,8 +151,6 @@
   private readonly wanted: Float64Array;
   readonly blind: boolean;
   private readonly othersWait: boolean;
-  /** The result of the last `cost` call that found a place. */
-  private endsAt = 0;
 
   constructor(private readonly input: ReleaseInput) {
     let last: number = input.now + LEAST_PIECE_MS;
@@ -208,8 +206,8 @@
         // Behind others the last tasks start when this much is done, and run their whole time from there.
         const workEnds =
           from + (lengthS * 1000 * used) / Math.max(EPSILON, Math.min(free, job.cpus * lengthS));
-        this.endsAt = held ? workEnds + job.taskS * 1000 : Math.max(workEnds, runsFrom + job.taskS * 1000);
-        return this.endsAt <= finishBy ? cost : Infinity;
+        const endsAt = held ? workEnds + job.taskS * 1000 : Math.max(workEnds, runsFrom + job.taskS * 1000);
+        return endsAt <= finishBy ? cost : Infinity;
       }
     }
     return Infinity;
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -255,7 +255,7 @@
   private isDeferrable(job: Job): boolean {
     const { spec } = job;
     if (spec.kind === 'service' || spec.deadlineS === null || spec.estimateS <= 0) return false;
-    if (spec.priority === 'production' || spec.priority === 'high') return false;
+    if (isUrgent(spec)) return false;
     if (this.o.classes !== null && !this.o.classes.includes(spec.class)) return false;
     return job.state === 'active' && !hasBegun(job);
   }
@@ -346,7 +346,7 @@
           x.wanted += cpus * left;
         }
         // Of a stream of urgent work there will be as much in an hour.
-        if (spec.deadlineS === null || spec.priority === 'production' || spec.priority === 'high')
+        if (spec.deadlineS === null || isUrgent(spec))
           urgent.set(spec.team, (urgent.get(spec.team) ?? 0) + cpus * job.placements.size);
       }
     }
@@ -379,6 +379,14 @@
       return;
     }
     const { teams } = this.tenure.c.settings;
+    const capacities = teams.map((t): Capacity => {
+      const before = ahead.team.get(t.name);
+      return {
+        cpus: this.keeper.capacity.of(t),
+        ahead: before?.work ?? 0,
+        wanted: before?.wanted ?? 0,
+      };
+    });
     const zones = this.zones();
     const jobs: WaitingJob[] = [];
     let last = now;
@@ -389,7 +397,7 @@
       if (job === undefined || deadlineS === null || team < 0) continue;
       const waiting = this.waitingJob(job, team, zones, deadlineS);
       last = Math.max(last, waiting.finishBy) as WallMs;
-      const most = this.keeper.capacity.of(teams[team] as (typeof teams)[number]) * GANG_SHARE;
+      const most = (capacities[team]?.cpus ?? 0) * GANG_SHARE;
       if (job.spec.kind === 'gang' && waiting.cpus > most)
         this.carryOut({ id, at: now, reason: 'no-room', ratio: 1 }, now, doc.revision);
       else jobs.push(waiting);
@@ -398,14 +406,7 @@
     const input: ReleaseInput = {
       now,
       jobs,
-      teams: teams.map((t): Capacity => {
-        const before = ahead.team.get(t.name);
-        return {
-          cpus: this.keeper.capacity.of(t),
-          ahead: before?.work ?? 0,
-          wanted: before?.wanted ?? 0,
-        };
-      }),
+      teams: capacities,
       pool: { cpus: this.keeper.capacity.pool, ahead: ahead.pool.work, wanted: ahead.pool.wanted },
       starts: costs.starts,
       until: costs.until,
@@ -454,6 +455,10 @@
   return known.reason !== d.reason && d.reason !== 'turn' && known.reason !== 'turn';
 }
 
+function isUrgent(spec: JobSpec): boolean {
+  return spec.priority === 'production' || spec.priority === 'high';
+}
+
 /** Whether a task of the job may ever have been started: then it is never deferred. */
 function hasBegun(job: Job): boolean {
   return job.doneCount > 0 || job.placements.size > 0 || job.chunks.some((c) => c.attempts > 0);
