--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -1,6 +1,15 @@
 import type { Clock, Ms, Urgency } from '@spurbridge/net';
 import { Budget, JsonClient, NoAnswerError } from '@spurbridge/net';
-import type { Change, Condition, Item, LeaseId, Revision, WatchEvent } from '@spurbridge/wire';
+import type {
+  Change,
+  Condition,
+  Item,
+  LeaseId,
+  Revision,
+  Token,
+  Version,
+  WatchEvent,
+} from '@spurbridge/wire';
 import {
   PATHS,
   formatCommit,
@@ -20,12 +29,14 @@
 
 export type CommitOutcome =
   | { readonly outcome: 'committed'; readonly revision: Revision }
-  | { readonly outcome: 'conflict'; readonly failed: readonly string[] }
+  | { readonly outcome: 'conflict'; readonly failed: readonly string[]; readonly revision: Revision }
   | { readonly outcome: 'no_lease' }
   | Refusal;
 
 export type ReadOutcome =
-  { readonly outcome: 'found'; readonly item: Item } | { readonly outcome: 'absent' } | Refusal;
+  | { readonly outcome: 'found'; readonly item: Item }
+  | { readonly outcome: 'absent'; readonly revision: Revision }
+  | Refusal;
 export type ListOutcome =
   { readonly outcome: 'listed'; readonly items: readonly Item[]; readonly revision: Revision } | Refusal;
 export type WatchOutcome =
@@ -37,6 +48,13 @@
 
 /** The state service as the controllers use it; the stand-in of `testkit` implements it too. */
 export interface StateStore {
+  /**
+   * Whether what it says is believed now. While it is not, every call is refused, and nothing may be started,
+   * rented, forgotten or released on the strength of what was read before.
+   */
+  readonly trusted: boolean;
+  /** The token of a leader whose record has this version. */
+  tokenOf(version: Version): Token;
   read(key: string, urgency: Urgency): Promise<ReadOutcome>;
   list(prefix: string, urgency: Urgency): Promise<ListOutcome>;
   commit(
@@ -46,7 +64,8 @@
   ): Promise<CommitOutcome>;
   watch(prefix: string, after: Revision, waitMs: number): Promise<WatchOutcome>;
   grantLease(ttlMs: number): Promise<GrantOutcome>;
-  renewLease(lease: LeaseId): Promise<TouchOutcome>;
+  /** Renews the lease of a leader; `held` is its record's condition, for a store that looks after that too. */
+  renewLease(lease: LeaseId, held: Condition): Promise<TouchOutcome>;
   endLease(lease: LeaseId): Promise<void>;
   /** Since when requests have failed without one being served; null while served. */
   failingSince(): Ms | null;
@@ -63,6 +82,7 @@
 const LIST_PAGE = 1000;
 
 export class HttpStateStore implements StateStore {
+  readonly trusted = true;
   private readonly client: JsonClient;
   private readonly watcher: JsonClient;
   private readonly requests: Budget;
@@ -84,6 +104,10 @@
     return this.failing;
   }
 
+  tokenOf(version: Version): Token {
+    return version as number as Token;
+  }
+
   private async call<T>(
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
@@ -114,7 +138,7 @@
       status === 200
         ? { outcome: 'found', item: parseItemAnswer(body) }
         : status === 404
-          ? { outcome: 'absent' }
+          ? { outcome: 'absent', revision: parseRevision(body) }
           : null,
     );
   }
@@ -153,7 +177,8 @@
       ANSWER_MS,
       (status, body) => {
         if (status === 200) return { outcome: 'committed', revision: parseRevision(body) };
-        if (status === 409) return { outcome: 'conflict', failed: parseFailed(body) };
+        if (status === 409)
+          return { outcome: 'conflict', failed: parseFailed(body), revision: parseRevision(body) };
         if (status === 400) return { outcome: 'no_lease' };
         return null;
       },
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -43,6 +43,7 @@
   private standsBackUntil = 0 as Ms;
   private staysUntil = 0 as Ms;
   private ownToken = 0 as Token;
+  private ownVersion = ABSENT;
   /** The highest token known, and whose it is. */
   private seen: { token: Token; node: NodeId } | null = null;
 
@@ -82,7 +83,8 @@
 
   /** Whether the lease is surely held now, by our own steady clock counted from the sending. */
   holdsSurely(): boolean {
-    return this.current === 'leading' && this.clock.now() < this.validUntil();
+    // A state service that is doubted is like one that does not answer: docs/state-loss.md.
+    return this.current === 'leading' && this.store.trusted && this.clock.now() < this.validUntil();
   }
 
   private validUntil(): number {
@@ -146,7 +148,7 @@
     const sentAt = this.clock.now();
     if (lease === null) return;
     // The lease is watched by the clock too: an answer that never comes must not keep us leading.
-    const renewal = this.store.renewLease(lease).then((outcome) => {
+    const renewal = this.store.renewLease(lease, this.condition()).then((outcome) => {
       // However late it comes, it confirms the lease from when it was asked for: with a state service
       // slowed thirtyfold, renewals of a second were taken for failed and the lease was given up.
       if (outcome.outcome === 'renewed') this.confirm(lease, sentAt);
@@ -200,7 +202,7 @@
       await this.clock.sleep(RETRY_MS);
       return;
     }
-    this.observe(found.item.version as number as Token, read.str(value, 'node') as NodeId);
+    this.observe(this.store.tokenOf(found.item.version), read.str(value, 'node') as NodeId);
     const watched = await this.store.watch(
       LEADER_KEY,
       found.item.version as number as Parameters<StateStore['watch']>[1],
@@ -237,13 +239,14 @@
     }
     this.lease = granted.lease;
     this.confirmedAt = sentAt;
-    this.ownToken = committed.revision as number as Token;
+    this.ownVersion = committed.revision as number as Version;
+    this.ownToken = this.store.tokenOf(this.ownVersion);
     this.seen = { token: this.ownToken, node: this.self };
     this.enter('leading', 'the campaign was won');
   }
 
   /** Condition of every leader write. */
   condition(): { key: string; version: Version } {
-    return { key: LEADER_KEY, version: this.ownToken as number as Version };
+    return { key: LEADER_KEY, version: this.ownVersion };
   }
 }
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -149,7 +149,7 @@
     this.expire();
     const e = this.entries.get(key);
     return e === undefined
-      ? { outcome: 'absent' }
+      ? { outcome: 'absent', revision: this.revision as Revision }
       : { outcome: 'found', item: { key, value: JSON.parse(e.value), version: e.version as Version } };
   }
 
@@ -179,7 +179,7 @@
     const failed = conditions
       .filter((c) => (this.entries.get(c.key)?.version ?? 0) !== c.version)
       .map((c) => c.key);
-    if (failed.length > 0) return { outcome: 'conflict', failed };
+    if (failed.length > 0) return { outcome: 'conflict', failed, revision: this.revision as Revision };
     for (const c of changes)
       if ('put' in c && c.lease !== undefined && !this.leases.has(c.lease)) return { outcome: 'no_lease' };
     this.revision += 1;
