--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -3,7 +3,16 @@
 import { Job, Machine, restoreChunk } from '@spurbridge/model';
 import type { Clock, Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
-import type { Attempt, Item, JobId, MachineId, MachineType, Session, Version } from '@spurbridge/wire';
+import type {
+  Attempt,
+  Item,
+  JobId,
+  MachineId,
+  MachineType,
+  Session,
+  TaskReport,
+  Version,
+} from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
 import type { Log } from './log.js';
 
@@ -173,6 +182,17 @@
     return p;
   }
 
+  /** Takes over a task that its machine reports and no record places. */
+  adopt(job: Job, t: TaskReport, machine: MachineId, session: Session): void {
+    job.adopt(t.task, machine, session, t.attempt, this.now());
+    const p = job.placements.get(t.task);
+    if (p === undefined) return;
+    this.hold(job, p);
+    if (t.phase !== 'exited') job.reported(t.task, t.phase, this.now());
+    this.emit('placed', job, t.task);
+    this.emit('changed', job);
+  }
+
   /** The intent is durable: the start may go out. */
   durable(job: Job, started: readonly { task: number; attempt: Attempt }[]): void {
     const machines = new Set<MachineId>();
--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -14,6 +14,8 @@
     private readonly cluster: Cluster,
     /** Takes in the report that a machine answers with. */
     private readonly onReport: (report: WorkerReport) => void,
+    /** Whether what is on the machines is known; before, they are told to stop what is cancelled and nothing else. */
+    private readonly isSettled: () => boolean,
   ) {
     cluster.on('due', (id) => {
       this.push(id);
@@ -38,7 +40,7 @@
         // A second stop would end a task that is saving; repeat only what has not taken effect.
         const saving = p.state === 'saving' && p.stop.reason !== 'cancelled';
         if (!saving && p.state !== 'intended') commands.push({ op: 'stop', ...id, graceS: p.stop.graceS });
-      } else if (p.state === 'starting' && job.state === 'active') {
+      } else if (p.state === 'starting' && job.state === 'active' && this.isSettled()) {
         if (isKeptBack(this.cluster, this.tenure.c.settings, job, p)) continue;
         if (repeat || !m.unanswered.has(startName(job.spec.id, task, p.attempt)))
           commands.push({ op: 'start', ...id });
@@ -57,9 +59,11 @@
         continue;
       const id = { job: t.job, task: t.task, attempt: t.attempt };
       if (t.phase !== 'exited') {
-        commands.push({ op: 'stop', ...id, graceS: 0 });
+        if (this.isSettled() || this.tenure.c.trust.phaseOf(t.job) === 'cancelled')
+          commands.push({ op: 'stop', ...id, graceS: 0 });
         continue;
       }
+      if (!this.isSettled()) continue;
       // After a forget the worker would execute a late start of the attempt again: none may be in flight.
       if (m.unanswered.has(startName(t.job, t.task, t.attempt))) continue;
       if (job === undefined || t.task >= job.spec.tasks || job.state !== 'active' || job.isDurable(t.task))
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -33,12 +33,16 @@
   private releaseDue: MachineId[] = [];
   private readonly demand: Demand;
   private consolidateAt = 0 as Ms;
+  /** When the list that was read last was asked for. */
+  listedAt: Ms | null = null;
   /** When a machine that ran something before this node led was first heard, the last time. */
   private cameInAt: Ms | null = null;
 
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
+    /** Whether what is on the machines is known: none is given back as idle before. */
+    private readonly mayGiveBack: () => boolean,
   ) {
     this.demand = new Demand(cluster, tenure.c.types);
     cluster.on('up', (m) => {
@@ -70,6 +74,7 @@
   private async listLoop(): Promise<void> {
     const { cloud, clock } = this.tenure.c;
     while (this.tenure.active) {
+      const askedAt = clock.now();
       const listed = await cloud.list();
       if (!this.tenure.active) return;
       if (listed === null) {
@@ -78,6 +83,7 @@
       }
       if (this.cluster.standingUpTo === null) await this.findStanding(listed);
       for (const l of listed) this.learn(l);
+      this.listedAt = askedAt;
       await clock.sleep(LIST_MS);
     }
   }
@@ -103,6 +109,7 @@
   private learn(l: ListedMachine): void {
     const m = this.cluster.describeMachine(l.id, l.type, l.zone, l.spot);
     m.rented = this.cluster.isRented(l.id);
+    m.listedRunning = l.phase === 'running';
     if (m.address === '') m.address = l.address;
     if (l.phase === 'failed' && m.state !== 'gone' && m.state !== 'releasing') {
       // A failed machine stopped on its own: nothing runs there any more.
@@ -150,6 +157,7 @@
       await this.signal.wait(clock, 1000);
       if (!this.tenure.active) return;
       if (this.cluster.standingUpTo === null || types().length === 0 || !leadership.holdsSurely()) continue;
+      if (!this.mayGiveBack()) continue;
       const now = clock.now();
       const target = this.demand.target();
       const consolidates = this.cluster.frugal && now >= this.consolidateAt;
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -10,6 +10,7 @@
 import { JobRecords } from './records.js';
 import { Reports } from './reports.js';
 import { answerHorizonMs } from './settings.js';
+import { Settling } from './settling.js';
 import { Sweeper } from './sweeper.js';
 import type { LeaderContext, Room } from './tenure.js';
 import { Tenure } from './tenure.js';
@@ -29,6 +30,7 @@
   private readonly planning: Planning;
   private readonly sweeper: Sweeper;
   private readonly shown: Progress;
+  private readonly settling: Settling;
   private readonly rooms: readonly Room[];
   private ready = false;
 
@@ -50,10 +52,12 @@
     this.shown = new Progress(tenure, cluster);
     this.records = new JobRecords(tenure, cluster);
     this.reports = new Reports(tenure, cluster, estimates);
+    this.settling = new Settling(tenure, cluster, () => this.fleet.listedAt);
+    const isSettled = (): boolean => this.settling.isOver;
     const takeReport = (r: WorkerReport): void => {
-      this.reports.take(r);
+      this.take(r);
     };
-    this.commands = new Commands(tenure, cluster, takeReport);
+    this.commands = new Commands(tenure, cluster, takeReport, isSettled);
     this.recorder = new Recorder(
       tenure,
       cluster,
@@ -62,16 +66,17 @@
       },
       (job) => this.rooms.every((room) => room.mayClose(job)),
     );
-    this.fleet = new Fleet(tenure, cluster);
+    this.fleet = new Fleet(tenure, cluster, isSettled);
     this.rooms = c.rooms.map((room) => room(tenure, cluster));
     this.planning = new Planning(tenure, cluster, estimates, {
       hasJoined: (job) => this.rooms.every((room) => room.hasJoined(job)),
+      isSettled,
       isComingIn: () => this.fleet.isComingIn(c.clock.now()),
       planned: (unmet) => {
         this.fleet.planned(unmet);
       },
     });
-    this.sweeper = new Sweeper(tenure, cluster, this.fleet, this.reports);
+    this.sweeper = new Sweeper(tenure, cluster, this.fleet, this.reports, takeReport);
   }
 
   /** Rebuilds from the records, then runs until deposed. */
@@ -90,6 +95,7 @@
       this.recorder.run(),
       this.fleet.run(),
       this.shown.run(),
+      this.settling.run(),
       ...this.rooms.map((room) => room.run()),
     ]);
   }
@@ -107,12 +113,17 @@
   /** A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). */
   report(r: WorkerReport): WorkerCommand[] | null {
     if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
-    this.reports.take(r);
+    this.take(r);
     const commands = this.ready ? this.commands.ordersFor(r) : [];
     this.reports.answered(r);
     return commands;
   }
 
+  private take(r: WorkerReport): void {
+    this.reports.take(r);
+    if (this.ready) this.settling.take(r);
+  }
+
   progress(id: JobId): JobProgress | null {
     return this.shown.of(id);
   }
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -1,7 +1,7 @@
 import type { Cloud } from '@spurbridge/cloud';
 import type { WallMs } from '@spurbridge/model';
 import type { Clock } from '@spurbridge/net';
-import type { StateStore } from '@spurbridge/store';
+import type { GuardedStore } from '@spurbridge/recovery';
 import { Leadership } from '@spurbridge/store';
 import type {
   JobId,
@@ -24,7 +24,8 @@
 
 export interface NodeParts {
   readonly settings: Settings;
-  readonly store: StateStore;
+  /** The state service, as far as it can be trusted; `changed` of its parts is to call `trustChanged`. */
+  readonly store: GuardedStore;
   readonly cloud: Cloud;
   readonly workers: WorkerLink;
   readonly clock: Clock;
@@ -94,7 +95,7 @@
   }
 
   async run(): Promise<void> {
-    await Promise.all([this.leadership.run(), this.learnTypes(), this.peers.run()]);
+    await Promise.all([this.parts.store.run(), this.leadership.run(), this.learnTypes(), this.peers.run()]);
   }
 
   private elected(token: Token): void {
@@ -104,6 +105,7 @@
       store,
       cloud,
       workers,
+      trust: store,
       leadership: this.leadership,
       clock,
       wallNow,
@@ -116,6 +118,12 @@
     });
     this.leader = leader;
     log.info({ token }, 'leading');
+    store.led(token);
+    store
+      .writeBack(() => this.leader === leader)
+      .catch((e: unknown) => {
+        log.error({ error: String(e) }, 'writing back ended');
+      });
     this.peers.broadcast(this.status());
     leader.run().catch((e: unknown) => {
       log.error({ error: e instanceof Error ? (e.stack ?? e.message) : String(e) }, 'leader failed');
@@ -153,12 +161,19 @@
         token: known?.token ?? (0 as Token),
         leader: known?.node ?? ('' as NodeId),
         stateOk: this.stateServed(),
+        ...this.parts.store.status(),
       },
     };
   }
 
+  /** Peers hear at once when this node begins or ceases to trust the state service. */
+  trustChanged(): void {
+    this.peers.broadcast(this.status());
+  }
+
   private onPeer(message: PeerMessage): void {
     const s = message.status;
+    if (s !== undefined) this.parts.store.peerSaid(s);
     if (s !== undefined && s.leader !== '') this.leadership.observe(s.token, s.leader);
     for (const p of message.progress ?? []) {
       this.progress.delete(p.job as JobId);
@@ -179,6 +194,7 @@
   }
 
   report(r: WorkerReport): ReportAnswer {
+    this.parts.store.tokenShown(r.token);
     this.leadership.observe(r.token, null);
     const { leader } = this;
     const state = this.leadership.state;
--- a/packages/controller/src/planning.ts
+++ b/packages/controller/src/planning.ts
@@ -31,6 +31,8 @@
     private readonly parts: {
       /** Whether the job takes part in the order now. */
       readonly hasJoined: (job: Job) => boolean;
+      /** Whether what is on the machines is known. */
+      readonly isSettled: () => boolean;
       /** Whether workers of an earlier leader are still finding this one. */
       readonly isComingIn: () => boolean;
       /** What found no room. */
@@ -52,7 +54,7 @@
       await this.signal.wait(clock, 1000);
       if (!this.tenure.active) return;
       const began = clock.now();
-      if (leadership.holdsSurely() && types().length > 0) this.planOnce();
+      if (leadership.holdsSurely() && types().length > 0 && this.parts.isSettled()) this.planOnce();
       // Planning gives way to reports, renewals and users: when events are dense, one plan serves many.
       const tookMs = clock.now() - began;
       await clock.sleep(
--- /dev/null
+++ b/packages/controller/src/settling.ts
@@ -0,0 +1,166 @@
+import type { Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import { Transitions } from '@spurbridge/model';
+import type { Job } from '@spurbridge/model';
+import type { MachineId, TaskReport, WorkerReport } from '@spurbridge/wire';
+import { formatTaskName } from '@spurbridge/wire';
+import type { Cluster } from './cluster.js';
+import { answerHorizonMs } from './settings.js';
+import type { Tenure } from './tenure.js';
+
+/**
+ * `settled`: what may be on every machine is known. `asking`: records may be missing, so machines are asked first
+ * (docs/state-loss.md). `half`: nothing spoke against the records where half of the machines were heard.
+ */
+export type SettlingState = 'asking' | 'half' | 'settled';
+
+const transitions = new Transitions<SettlingState>('settling', {
+  asking: ['half', 'settled'],
+  half: ['asking', 'settled'],
+  settled: [],
+});
+
+const LOOK_MS = 100;
+const ENOUGH = 0.5;
+const MARGIN_MS = 1000;
+const DRIFT = 0.001;
+
+/** Asks machines what is on them where the records alone cannot tell. */
+export class Settling {
+  private current: SettlingState;
+  /** The last report of each machine that has shown our token: from then on nothing older is executed there. */
+  private readonly heard = new Map<MachineId, WorkerReport>();
+  private unexplained = 0;
+  private readonly sureAt: Ms;
+
+  constructor(
+    private readonly tenure: Tenure,
+    private readonly cluster: Cluster,
+    private readonly listedAt: () => Ms | null,
+  ) {
+    const { settings, trust } = tenure.c;
+    this.current = trust.continuous ? 'settled' : 'asking';
+    const longestMs = answerHorizonMs(settings) + settings.workers.leaseS * 1000;
+    this.sureAt = later(tenure.electedAt, longestMs * (1 + DRIFT) + MARGIN_MS);
+  }
+
+  get state(): SettlingState {
+    return this.current;
+  }
+
+  /** Whether tasks may be started, and machines given back. */
+  get isOver(): boolean {
+    return this.current !== 'asking';
+  }
+
+  /** The only function that changes the state. */
+  private enter(next: SettlingState, why: string): void {
+    transitions.check(this.current, next);
+    this.tenure.c.log.info(
+      { from: this.current, to: next, why, heard: this.heard.size, unexplained: this.unexplained },
+      'settling',
+    );
+    this.current = next;
+  }
+
+  async run(): Promise<void> {
+    const { clock, trust } = this.tenure.c;
+    while (this.tenure.active && this.current !== 'settled') {
+      // A peer that never lost sight of the store says so: then the records are whole.
+      if (trust.continuous && this.current === 'asking' && this.unexplained === 0)
+        this.enter('settled', 'a peer knows');
+      else this.look(clock.now());
+      if (this.isOver) this.cluster.emit('plan');
+      await clock.sleep(LOOK_MS);
+    }
+    this.heard.clear();
+  }
+
+  /** A report, by whatever way it came. */
+  take(r: WorkerReport): void {
+    if (this.current === 'settled' || r.token !== this.tenure.c.leadership.token) return;
+    const isNew = !this.heard.has(r.machine);
+    this.heard.set(r.machine, r);
+    if (!isNew) return;
+    const strange = r.tasks.filter((t) => this.isUnexplained(t)).length;
+    this.unexplained += strange;
+    if (strange > 0 && this.current === 'half')
+      this.enter('asking', `${r.machine} runs what no record explains`);
+  }
+
+  /** No sound store could lack the record of this: its job, or that this attempt was ever given. */
+  private isUnexplained(t: TaskReport): boolean {
+    const job = this.cluster.jobs.get(t.job);
+    if (job === undefined) return this.tenure.c.trust.phaseOf(t.job) === null;
+    return t.task < job.spec.tasks && job.state === 'active' && t.attempt > job.chunkOf(t.task).attempts;
+  }
+
+  private look(now: Ms): void {
+    const { settings, trust } = this.tenure.c;
+    const listedAt = this.listedAt();
+    let expected = 0;
+    let missing = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.state === 'gone') continue;
+      if (this.cluster.heldCount(m.id) === 0 && !m.listedRunning && m.heardAt === null) continue;
+      expected += 1;
+      if (!this.heard.has(m.id)) missing += 1;
+    }
+    // A machine that was up shortly before may not be listed yet.
+    const lagMs = settings.cloud.listLagS * 2000;
+    const isListed = listedAt !== null && listedAt > later(this.tenure.electedAt, lagMs);
+    if ((missing === 0 && isListed) || now > this.sureAt) {
+      if (this.current === 'asking') this.reconcile(now);
+      this.enter('settled', missing === 0 ? 'every machine was heard' : 'every earlier lease is over');
+      trust.settled();
+    } else if (
+      this.current === 'asking' &&
+      this.unexplained === 0 &&
+      !trust.hasLost &&
+      listedAt !== null &&
+      missing <= expected * ENOUGH
+    ) {
+      this.reconcile(now);
+      this.enter('half', `${missing} of ${expected} machines are not heard yet`);
+    }
+  }
+
+  /** Puts the machines' word in the place of the records', for every machine that was heard. */
+  private reconcile(now: Ms): void {
+    const counts = { gone: 0, adopted: 0, done: 0 };
+    for (const r of this.heard.values()) {
+      const there = new Map(r.tasks.map((t) => [formatTaskName(t.job, t.task), t.attempt]));
+      for (const { job, task } of [...this.cluster.heldOn(r.machine)]) {
+        const p = job.placements.get(task);
+        if (p === undefined || p.session !== r.session || p.placedAt > this.tenure.electedAt) continue;
+        if (there.get(formatTaskName(job.spec.id, task)) === p.attempt) continue;
+        this.cluster.gone(job, p, false, 'not on its machine');
+        counts.gone += 1;
+      }
+    }
+    for (const r of this.heard.values())
+      for (const t of r.tasks) {
+        const job = this.cluster.jobs.get(t.job);
+        if (job === undefined || job.state !== 'active' || t.task >= job.spec.tasks || job.isDone(t.task))
+          continue;
+        if (t.phase === 'exited' && t.cause !== 'done') continue;
+        if (!this.isFree(job, t)) continue;
+        this.cluster.adopt(job, t, r.machine, r.session);
+        if (t.phase === 'exited') {
+          const p = job.placements.get(t.task);
+          if (p !== undefined) this.cluster.gone(job, p, true, 'done');
+          counts.done += 1;
+        } else counts.adopted += 1;
+      }
+    this.tenure.c.log.info({ ...counts, ms: Math.round(now - this.tenure.electedAt) }, 'machines were asked');
+  }
+
+  /** Whether a task may be taken over: an earlier attempt elsewhere was proven gone before this one was given. */
+  private isFree(job: Job, t: TaskReport): boolean {
+    const p = job.placements.get(t.task);
+    if (p === undefined) return true;
+    if (p.attempt >= t.attempt) return false;
+    this.cluster.gone(job, p, false, 'a later attempt is there');
+    return true;
+  }
+}
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -7,6 +7,7 @@
 import { SAVE_MARGIN_S } from './reports.js';
 import { longestReportMs, silentAfterMs } from './settings.js';
 import type { Tenure } from './tenure.js';
+import type { WorkerReport } from '@spurbridge/wire';
 
 /** Clocks of different machines drift apart by at most this. */
 const DRIFT = 0.0005;
@@ -40,6 +41,8 @@
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
     private readonly reports: Reports,
+    /** Takes in the report that a machine answers with. */
+    private readonly onReport: (report: WorkerReport) => void,
   ) {}
 
   async run(): Promise<void> {
@@ -112,7 +115,7 @@
           return;
         }
         leadership.observe(report.token, null);
-        if (this.tenure.active) this.reports.take(report);
+        if (this.tenure.active) this.onReport(report);
       })
       .catch((e: unknown) => {
         log.error({ machine: m.id, error: String(e) }, 'probe failed');
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -2,14 +2,27 @@
 import type { Job, WallMs } from '@spurbridge/model';
 import type { Clock, Ms } from '@spurbridge/net';
 import type { Leadership, StateStore } from '@spurbridge/store';
-import type { JobProgress, MachineType } from '@spurbridge/wire';
+import type { JobId, JobProgress, MachineType } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import type { Log } from './log.js';
 import type { Settings } from './settings.js';
 import type { WorkerLink } from './worker-link.js';
 
+/** What is known of the state service's own soundness (docs/state-loss.md). */
+export interface Trust {
+  /** Whether all that was ever written is known to have been read. */
+  readonly continuous: boolean;
+  /** Whether it has lost data that no copy held. */
+  readonly hasLost: boolean;
+  /** The leader knows what is on every machine, whatever the state service may have lost before. */
+  settled(): void;
+  /** Phase of a job by its record, also of one that is long over; null: no such record. */
+  phaseOf(id: JobId): string | null;
+}
+
 /** What a leader works with, and is given by its node. */
 export interface LeaderContext {
+  readonly trust: Trust;
   readonly settings: Settings;
   readonly store: StateStore;
   readonly cloud: Cloud;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,7 @@
 import type { WallMs } from '@spurbridge/model';
 import { steadyClock } from '@spurbridge/net';
 import type { StateStore } from '@spurbridge/store';
+import { GuardedStore } from '@spurbridge/recovery';
 import { HttpStateStore } from '@spurbridge/store';
 import type { MachineType } from '@spurbridge/wire';
 import type { FastifyInstance } from 'fastify';
@@ -27,8 +28,19 @@
     { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
     destination({ fd: 2, sync: true }),
   );
-  const store = new HttpStateStore(settings.stateAddress, settings.state, steadyClock);
-  const controller = new Controller({
+  const store = new GuardedStore({
+    raw: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
+    clock: steadyClock,
+    wallNow: () => Date.now() as WallMs,
+    node: settings.node,
+    nodes: settings.peers.length + 1,
+    limits: settings.state,
+    log,
+    changed: () => {
+      controller.trustChanged();
+    },
+  });
+  const controller: Controller = new Controller({
     settings,
     store,
     cloud: new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock),
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -250,6 +250,14 @@
     this.followGang();
   }
 
+  /** Takes over what its machine reports and no record placed. */
+  adopt(task: number, machine: MachineId, session: Session, attempt: Attempt, now: Ms): void {
+    const chunk = this.chunkOf(task);
+    chunk.attempts = Math.max(chunk.attempts, attempt);
+    chunk.edition += 1;
+    this.restorePlacement(task, machine, session, attempt, now);
+  }
+
   /** The only function that changes a placement's state. */
   private move(placement: Mutable<Placement>, next: PlacementState, now: Ms): void {
     if (placement.state === next) return;
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -51,6 +51,8 @@
   private readonly speeds = new Map<string, { sum: number; count: number }>();
   private slow = 1;
   sending = false;
+  /** Whether the cloud has listed it as running: its worker may have started tasks. */
+  listedRunning = false;
   drainReason = '';
 
   constructor(
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -1,6 +1,6 @@
 import type { Ms } from '@spurbridge/net';
 import type { Attempt, Brand, JobId, JobPhase, JobSpec, MachineId, Session, Version } from '@spurbridge/wire';
-import { formatSubmission, parseSubmission, read } from '@spurbridge/wire';
+import { MalformedError, formatSubmission, isJobId, parseSubmission, read } from '@spurbridge/wire';
 import type { Chunk } from './job.js';
 import { Job } from './job.js';
 
@@ -29,15 +29,63 @@
 }
 
 export function encodeJob(r: JobRecord): Record<string, unknown> {
-  const record = { spec: formatSubmission(r.spec), phase: r.phase, at: r.at, chunk: r.chunkSize };
+  const record: Record<string, unknown> = {
+    spec: formatSubmission(r.spec),
+    phase: r.phase,
+    at: r.at,
+    chunk: r.chunkSize,
+  };
   return r.graph === undefined ? record : { ...record, graph: r.graph };
 }
 
+/**
+ * The record of a job that is over, without what only running it needed: what its users may still ask is
+ * answered from it. A record folded already, or of a job that is not over, comes back as it is.
+ */
+export function foldJob(value: unknown): unknown {
+  const o = read.asObject(value, 'job record');
+  if (o['phase'] === 'active' || o['spec'] === undefined) return value;
+  const { spec, phase, at, chunkSize, graph } = decodeJob(value);
+  const folded = { over: [spec.id, spec.tasks], phase, at, chunk: chunkSize };
+  return graph === undefined ? folded : { ...folded, graph };
+}
+
+/** Of a folded record only id and number of tasks are known: it takes nothing, and fits no team. */
+function foldedSpec(over: readonly unknown[]): JobSpec {
+  const [id, tasks] = over;
+  if (typeof id !== 'string' || !isJobId(id)) throw new MalformedError('over', 'a job id');
+  if (typeof tasks !== 'number' || !Number.isInteger(tasks) || tasks < 1)
+    throw new MalformedError('over', 'a number of tasks');
+  return {
+    id,
+    tasks,
+    class: '',
+    team: '',
+    kind: 'array',
+    priority: 'low',
+    cpus: 0,
+    gpus: 0,
+    memoryGb: 0,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    image: '',
+    imageGb: 0,
+    estimateS: 0,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  };
+}
+
 export function decodeJob(value: unknown): JobRecord {
   const o = read.asObject(value, 'job record');
   const graph = read.optStr(o, 'graph');
+  const over = o['over'];
   return {
-    spec: parseSubmission(o['spec']),
+    spec: over === undefined ? parseSubmission(o['spec']) : foldedSpec(read.asArray(over, 'over')),
     phase: read.oneOf(o, 'phase', ['active', 'done', 'cancelled']),
     at: read.amount(o, 'at') as WallMs,
     chunkSize: read.count(o, 'chunk', 1),
--- /dev/null
+++ b/packages/recovery/src/copy.ts
@@ -0,0 +1,149 @@
+import { JOB_PREFIX, TASKS_PREFIX, foldJob } from '@spurbridge/model';
+import type { Change, Item, Revision, Version, WatchEvent } from '@spurbridge/wire';
+import { isDeepStrictEqual } from 'node:util';
+import { isControlKey } from './epoch.js';
+
+/** One key as it was last seen; the value as JSON, so that hundreds of records stay small. */
+export interface Seen {
+  readonly version: Version;
+  readonly text: string;
+}
+
+/** What a node has seen of the state service: every key but the control keys (docs/state-loss.md). */
+export class Copy {
+  private readonly seen = new Map<string, Seen>();
+  /** Task records of each job: one that is over is folded when it has none left. */
+  private readonly chunks = new Map<string, number>();
+  /** All changes up to this revision are in. */
+  revision = 0 as Revision;
+
+  get size(): number {
+    return this.seen.size;
+  }
+
+  get(key: string): Seen | undefined {
+    return this.seen.get(key);
+  }
+
+  entries(): IterableIterator<[string, Seen]> {
+    return this.seen.entries();
+  }
+
+  keys(): IterableIterator<string> {
+    return this.seen.keys();
+  }
+
+  put(key: string, value: unknown, version: Version): void {
+    const known = this.seen.get(key);
+    if (isControlKey(key) || (known !== undefined && known.version > version)) return;
+    if (known === undefined) this.countChunk(key, 1);
+    this.seen.set(key, { version, text: JSON.stringify(this.kept(key, value)) });
+  }
+
+  remove(key: string, version: Version): void {
+    const known = this.seen.get(key);
+    if (known === undefined || known.version > version) return;
+    this.seen.delete(key);
+    this.countChunk(key, -1);
+    const job = jobOfChunk(key);
+    if (job === null || this.chunks.has(job)) return;
+    const record = this.seen.get(JOB_PREFIX + job);
+    if (record === undefined) return;
+    const folded = JSON.stringify(this.kept(JOB_PREFIX + job, JSON.parse(record.text)));
+    this.seen.set(JOB_PREFIX + job, { version: record.version, text: folded });
+  }
+
+  private countChunk(key: string, by: number): void {
+    const job = jobOfChunk(key);
+    if (job === null) return;
+    const count = (this.chunks.get(job) ?? 0) + by;
+    if (count > 0) this.chunks.set(job, count);
+    else this.chunks.delete(job);
+  }
+
+  /** A job that is over and has no task records left is folded; what cannot be read is kept as it is. */
+  private kept(key: string, value: unknown): unknown {
+    if (!key.startsWith(JOB_PREFIX) || this.chunks.has(key.slice(JOB_PREFIX.length))) return value;
+    try {
+      return foldJob(value);
+    } catch {
+      return value;
+    }
+  }
+
+  /** A commit of this node's own that was confirmed: known at once, not only by the watch. */
+  committed(changes: readonly Change[], revision: Revision): void {
+    const version = revision as number as Version;
+    // Deletions first: they may let a job of the same commit be folded.
+    for (const c of changes) if (!('put' in c)) this.remove(c.delete, version);
+    for (const c of changes) if ('put' in c) this.put(c.put, c.value, version);
+  }
+
+  watched(events: readonly WatchEvent[], revision: Revision): void {
+    for (const e of events)
+      if ('put' in e) this.put(e.put, e.value, e.version);
+      else this.remove(e.delete, e.version);
+    if (revision > this.revision) this.revision = revision;
+  }
+
+  /** Starts anew from a whole list. */
+  replace(items: Iterable<Item>, revision: Revision): void {
+    this.seen.clear();
+    this.chunks.clear();
+    const records = [...items];
+    for (const i of records) if (i.key.startsWith(TASKS_PREFIX)) this.put(i.key, i.value, i.version);
+    for (const i of records) if (!i.key.startsWith(TASKS_PREFIX)) this.put(i.key, i.value, i.version);
+    this.revision = revision;
+  }
+
+  /** Bytes that the values take, without the map around them. */
+  bytes(): number {
+    let sum = 0;
+    for (const [key, s] of this.seen) sum += key.length + s.text.length;
+    return sum;
+  }
+}
+
+/**
+ * Why what was read cannot be in a sound store, or null. `known` is what this node knew when it asked; `value`
+ * undefined: the key is absent, which says something only where nothing is ever deleted.
+ */
+export function contradiction(
+  key: string,
+  known: Seen | undefined,
+  version: Version,
+  value: unknown,
+): string | null {
+  if (known === undefined) return null;
+  if (value === undefined) return key.startsWith(JOB_PREFIX) ? `${key} is gone` : null;
+  if (version < known.version) return `${key} is at ${version}, was at ${known.version}`;
+  if (version === known.version && !saysTheSame(key, known.text, JSON.stringify(value)))
+    return `${key} has another value at ${version}`;
+  return null;
+}
+
+/** Phase of a job's record, or null where it cannot be read. */
+export function phaseOf(text: string): string | null {
+  try {
+    const value: unknown = JSON.parse(text);
+    const phase = typeof value === 'object' && value !== null ? (value as { phase?: unknown }).phase : null;
+    return typeof phase === 'string' ? phase : null;
+  } catch {
+    return null;
+  }
+}
+
+/** Whether two values of a key say the same, in whatever order of fields; of a job that is over, one may be folded. */
+export function saysTheSame(key: string, a: string, b: string): boolean {
+  if (a === b) return true;
+  if (key.startsWith(JOB_PREFIX)) {
+    const phase = phaseOf(a);
+    if (phase !== null && phase !== 'active') return phase === phaseOf(b);
+  }
+  return isDeepStrictEqual(JSON.parse(a), JSON.parse(b));
+}
+
+function jobOfChunk(key: string): string | null {
+  if (!key.startsWith(TASKS_PREFIX)) return null;
+  return key.slice(TASKS_PREFIX.length, key.lastIndexOf('/'));
+}
--- /dev/null
+++ b/packages/recovery/src/gathering.ts
@@ -0,0 +1,432 @@
+import { randomUUID } from 'node:crypto';
+import type { WallMs } from '@spurbridge/model';
+import type { Clock, Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { StateStore } from '@spurbridge/store';
+import { LEADER_KEY, LEASE_TTL_MS } from '@spurbridge/store';
+import type { Change, Condition, Item, NodeId, Revision, Token, Version } from '@spurbridge/wire';
+import { ABSENT } from '@spurbridge/wire';
+import { Copy } from './copy.js';
+import type { Epoch, EpochNumber } from './epoch.js';
+import {
+  EPOCH_KEY,
+  FENCE_PREFIX,
+  decodeEpoch,
+  encodeEpoch,
+  fenceKey,
+  isControlKey,
+  nextFloor,
+} from './epoch.js';
+import type { Memory, Repair } from './merge.js';
+import { merge } from './merge.js';
+import type { Contribution, Marker } from './pages.js';
+import { encodePages, markerKey, pagesOf, readContributions } from './pages.js';
+
+const RETRY_MS = 150;
+const POLL_MS = 100;
+/** An earlier leader that has not noticed believes in its lease no longer than this after the fence moved. */
+const BELIEF_MS = LEASE_TTL_MS * 1.002 + 200;
+/** Nodes that are heard, but leave no marker, are waited for no longer than this. */
+const PATIENCE_MS = 5000;
+/** A gathering whose mover does nothing for this long is begun again by another node. */
+const STALLED_MS = 6000;
+/** The mover's own pages are waited for, so that the others need not write the same. */
+const FIRST_MS = 2500;
+/** Leases taken at most so that ids from before the loss do not come again. */
+const MOST_LEASES = 200;
+const PAGES_A_COMMIT = 3;
+const TOMBSTONE = 'gone';
+
+/** What a node brings into a gathering. */
+export interface Bringing {
+  /** Number of the epoch that its copy belongs to; 0 without a copy. */
+  readonly copyOf: EpochNumber;
+  /** Highest number that it has met, its own or a peer's. */
+  readonly highest: number;
+  readonly deployment: string | null;
+  readonly led: Token;
+  readonly seen: Token;
+  readonly continuous: boolean;
+  readonly lease: number;
+  /** Its copy, and a snapshot where there is one. */
+  readonly memories: readonly Memory[];
+}
+
+export interface GatheringParts {
+  readonly raw: StateStore;
+  readonly clock: Clock;
+  readonly wallNow: () => WallMs;
+  readonly node: NodeId;
+  /** Number of controllers, this one included. */
+  readonly nodes: number;
+  readonly valueKb: number;
+  readonly log: { info(fields: object, message: string): void };
+  readonly brings: () => Bringing;
+  /** Peers heard of late, and the highest epoch that one of them is in. */
+  readonly heard: () => { readonly peers: readonly NodeId[]; readonly ahead: number };
+  /** An epoch of this number was met. */
+  readonly met: (number: number) => void;
+}
+
+/** An entry of a page: stands in for its key while that has the version `over`. */
+export interface Pending {
+  readonly key: string;
+  readonly over: Version;
+  readonly text: string;
+}
+
+/** An open epoch as a node finds it. */
+export interface Opened {
+  readonly epoch: Epoch;
+  readonly fence: Condition;
+  readonly items: readonly Item[];
+  readonly pending: readonly Pending[];
+  /** Keys of pages, and tombstones, to be removed once everything is written back. */
+  readonly leftovers: readonly string[];
+  readonly revision: Revision;
+  /** Revision at the end of the reading, which may take several requests. */
+  readonly latest: Revision;
+  /** Whether this node took part in the gathering: it has followed the epoch from its opening. */
+  readonly gathered: boolean;
+}
+
+export function isTombstone(value: unknown): boolean {
+  return (
+    typeof value === 'object' && value !== null && (value as Record<string, unknown>)[TOMBSTONE] === true
+  );
+}
+
+export const TOMBSTONE_VALUE = { [TOMBSTONE]: true };
+
+interface Found {
+  readonly epoch: Epoch | null;
+  readonly version: Version;
+}
+
+/** The steps from a doubted store to an open epoch (docs/state-loss.md). It decides nothing for longer than a try. */
+export class Gathering {
+  /** Ids of epochs that this process moved the fence to: another's under our name is from an earlier life. */
+  private readonly mine = new Map<string, Ms>();
+  private watched: { id: string; since: Ms } | null = null;
+
+  constructor(private readonly p: GatheringParts) {}
+
+  /** One try: an epoch that is open now and later than the copy's, or null to begin again. */
+  async attempt(): Promise<Opened | null> {
+    const found = await this.find();
+    if (found === null) return this.pause();
+    const b = this.p.brings();
+    const { epoch } = found;
+    if (epoch !== null) this.p.met(epoch.number);
+    const joins = epoch !== null && epoch.number > b.copyOf && epoch.number >= b.highest;
+    if (!joins || this.isStalled(epoch)) {
+      // A peer that is heard is in a later epoch: one of two stores is the old one, and it is not ours to move.
+      if (this.p.heard().ahead > Math.max(b.copyOf, epoch?.number ?? 0) && !joins) return this.pause();
+      await this.moveFence(found, b, false);
+      return this.pause(20);
+    }
+    return epoch.phase === 'open' ? this.enterLate(epoch) : this.gather(epoch, found.version);
+  }
+
+  /** The very first start, of a store that never held anything. */
+  async begin(): Promise<void> {
+    const found = await this.find();
+    if (found?.epoch === null) await this.moveFence(found, this.p.brings(), true);
+  }
+
+  /** What the record says now; null: no answer. */
+  async find(): Promise<Found | null> {
+    const found = await this.p.raw.read(EPOCH_KEY, 0);
+    if (found.outcome === 'absent') return { epoch: null, version: ABSENT };
+    if (found.outcome !== 'found') return null;
+    return { epoch: decodeEpoch(found.item.value), version: found.item.version };
+  }
+
+  private async pause(ms = RETRY_MS): Promise<null> {
+    await this.p.clock.sleep(ms);
+    return null;
+  }
+
+  private isStalled(epoch: Epoch): boolean {
+    if (epoch.phase === 'open') return false;
+    if (epoch.by === this.p.node) return !this.mine.has(epoch.id);
+    const now = this.p.clock.now();
+    if (this.watched?.id !== epoch.id) this.watched = { id: epoch.id, since: now };
+    return now - this.watched.since > STALLED_MS;
+  }
+
+  private async moveFence(found: Found, b: Bringing, first: boolean): Promise<void> {
+    const fences = await this.p.raw.list(FENCE_PREFIX, 0);
+    if (fences.outcome !== 'listed') return;
+    const number = Math.max(b.highest, b.copyOf, found.epoch?.number ?? 0) + 1;
+    const epoch: Epoch = {
+      number: number as EpochNumber,
+      id: randomUUID(),
+      deployment: b.deployment ?? found.epoch?.deployment ?? randomUUID(),
+      floor: first ? 0 : nextFloor(b.seen, this.p.wallNow()),
+      phase: first ? 'open' : 'gathering',
+      // A gathering that never opened wrote no records: what it came after stands for them.
+      after:
+        found.epoch === null
+          ? b.copyOf
+          : found.epoch.phase === 'open'
+            ? found.epoch.number
+            : found.epoch.after,
+      by: this.p.node,
+      first,
+      continuous: first,
+    };
+    this.mine.set(epoch.id, this.p.clock.now());
+    const outcome = await this.p.raw.commit(
+      [{ key: EPOCH_KEY, version: found.version }],
+      [
+        { put: EPOCH_KEY, value: encodeEpoch(epoch) },
+        ...fences.items.slice(0, 4).map((i) => ({ delete: i.key })),
+        { delete: LEADER_KEY },
+        { put: fenceKey(epoch.id), value: {} },
+      ],
+      0,
+    );
+    if (outcome.outcome === 'committed')
+      this.p.log.info({ epoch: number, first, floor: epoch.floor, after: epoch.after }, 'fence moved');
+  }
+
+  // --- gathering ---------------------------------------------------------------------------------
+
+  private async gather(epoch: Epoch, version: Version): Promise<Opened | null> {
+    const isMover = epoch.by === this.p.node;
+    if (!isMover) await this.awaitMarker(epoch, epoch.by, FIRST_MS);
+    if (!(await this.contribute(epoch))) return this.pause();
+    if (!isMover) return this.awaitOpening(epoch);
+    const markers = await this.collect(epoch);
+    if (markers === null || !(await this.passLeases(markers))) return this.pause();
+    const continuous = isContinuous(markers);
+    const outcome = await this.p.raw.commit(
+      [{ key: EPOCH_KEY, version }],
+      [{ put: EPOCH_KEY, value: encodeEpoch({ ...epoch, phase: 'open', continuous }) }],
+      0,
+    );
+    if (outcome.outcome !== 'committed') return this.pause();
+    this.p.log.info({ epoch: epoch.number, continuous, contributors: markers.size }, 'epoch opened');
+    return this.load({ ...epoch, phase: 'open', continuous }, true);
+  }
+
+  private async awaitMarker(epoch: Epoch, node: NodeId, mostMs: number): Promise<void> {
+    const until = later(this.p.clock.now(), mostMs);
+    while (this.p.clock.now() < until) {
+      const found = await this.p.raw.read(markerKey(epoch.id, node), 0);
+      if (found.outcome === 'found') return;
+      await this.p.clock.sleep(POLL_MS);
+    }
+  }
+
+  /** Writes what this node remembers and the store lacks, then its marker. False: to be tried again. */
+  private async contribute(epoch: Epoch): Promise<boolean> {
+    const { raw, node, valueKb } = this.p;
+    const listed = await raw.list('', 0);
+    if (listed.outcome !== 'listed') return false;
+    const b = this.p.brings();
+    const { base, others } = this.baseOf(epoch, listed.items);
+    const repairs = merge(base, [...b.memories, ...others]).map((r) => ({
+      ...r,
+      // What stands in the store itself is what an entry replaces, also where a page had replaced it before.
+      over: base.own.get(r.key)?.version ?? ABSENT,
+    }));
+    const { pages, digest } = encodePages(repairs, valueKb);
+    const fence = listed.items.find((i) => i.key === fenceKey(epoch.id));
+    if (fence === undefined) return false;
+    const conditions = [{ key: fence.key, version: fence.version }];
+    for (let i = 0; i < pages.length; i += PAGES_A_COMMIT) {
+      const changes = pages
+        .slice(i, i + PAGES_A_COMMIT)
+        .map((text, k) => ({ put: `${pagesOf(epoch.id, node)}${i + k}`, value: { text } }));
+      if (!(await this.insist(conditions, changes))) return false;
+    }
+    const marker: Marker = {
+      pages: pages.length,
+      digest,
+      led: b.led,
+      seen: b.seen,
+      continuous: b.continuous,
+      lease: b.lease,
+    };
+    const put = { put: markerKey(epoch.id, node), value: marker };
+    if (!(await this.insist(conditions, [put]))) return false;
+    this.p.log.info(
+      { epoch: epoch.number, records: repairs.length, pages: pages.length },
+      'copy contributed',
+    );
+    return true;
+  }
+
+  /** The store with the pages of this epoch over it; pages of epochs that never opened are memories of their own. */
+  private baseOf(
+    epoch: Epoch,
+    items: readonly Item[],
+  ): { readonly base: Memory & { readonly own: Copy }; readonly others: readonly Memory[] } {
+    const own = new Copy();
+    own.replace(
+      items.filter((i) => !isTombstone(i.value)),
+      0 as Revision,
+    );
+    const contributions = this.contributions(items);
+    const here = standing(contributions.filter((c) => c.id === epoch.id));
+    const others = contributions.filter((c) => c.id !== epoch.id).flatMap((c) => memoriesOf(c.repairs));
+    const base = {
+      own,
+      epoch: epoch.after,
+      get: (key: string) => here.get(key) ?? own.get(key),
+      keys: () => own.keys(),
+    };
+    return { base, others };
+  }
+
+  private contributions(items: readonly Item[]): Contribution[] {
+    return readContributions(items, (what) => {
+      this.p.log.info({ what }, 'pages cannot be read');
+    });
+  }
+
+  /** Commits until confirmed; false once a condition fails or a few tries were in vain. */
+  private async insist(conditions: readonly Condition[], changes: readonly Change[]): Promise<boolean> {
+    for (let n = 0; n < 20; n += 1) {
+      const outcome = await this.p.raw.commit(conditions, changes, 0);
+      if (outcome.outcome === 'committed') return true;
+      if (outcome.outcome === 'conflict' || outcome.outcome === 'no_lease') return false;
+      await this.p.clock.sleep(RETRY_MS);
+    }
+    return false;
+  }
+
+  /** The markers, once all controllers have left theirs, or long enough after the move; null: begin again. */
+  private async collect(epoch: Epoch): Promise<Map<NodeId, Marker> | null> {
+    const { raw, clock, nodes } = this.p;
+    const movedAt = this.mine.get(epoch.id);
+    for (;;) {
+      const sinceMs = movedAt === undefined ? Infinity : clock.now() - movedAt;
+      const listed = await raw.list(`m/${epoch.id}/`, 0);
+      if (listed.outcome === 'listed') {
+        const markers = new Map(this.contributions(listed.items).map((c) => [c.node, c.marker]));
+        if (!markers.has(this.p.node)) return null;
+        if (markers.size >= nodes) return markers;
+        const missing = this.p.heard().peers.filter((peer) => !markers.has(peer));
+        if (sinceMs > BELIEF_MS && (missing.length === 0 || sinceMs > PATIENCE_MS)) return markers;
+      } else if (sinceMs > STALLED_MS) return null;
+      await clock.sleep(POLL_MS);
+    }
+  }
+
+  /** Takes leases until their ids are past all that were granted before the loss. */
+  private async passLeases(markers: ReadonlyMap<NodeId, Marker>): Promise<boolean> {
+    const past = Math.max(0, ...[...markers.values()].map((m) => m.lease));
+    for (let n = 0; n < MOST_LEASES; n += 1) {
+      const granted = await this.p.raw.grantLease(100);
+      if (granted.outcome !== 'granted') return false;
+      if (granted.lease > past) return true;
+    }
+    this.p.log.info({ past }, 'lease ids were set back too far to pass them');
+    return true;
+  }
+
+  private async awaitOpening(epoch: Epoch): Promise<Opened | null> {
+    const until = later(this.p.clock.now(), STALLED_MS);
+    while (this.p.clock.now() < until) {
+      const found = await this.find();
+      if (found !== null) {
+        if (found.epoch?.id !== epoch.id) return null;
+        if (found.epoch.phase === 'open') return this.load(found.epoch, true);
+      }
+      await this.p.clock.sleep(POLL_MS);
+    }
+    return null;
+  }
+
+  // --- entering ----------------------------------------------------------------------------------
+
+  /** Enters an epoch that opened without this node: what only it remembers of jobs is put back at once. */
+  private async enterLate(epoch: Epoch): Promise<Opened | null> {
+    for (;;) {
+      const opened = await this.load(epoch);
+      if (opened === null) return null;
+      const { memories } = this.p.brings();
+      if (memories.length === 0) return opened;
+      const view = new Copy();
+      view.replace([...opened.items, ...opened.pending.map(itemOf)], opened.revision);
+      const store: Memory = { epoch: epoch.number, get: (k) => view.get(k), keys: () => view.keys() };
+      // Only what users were told: of tasks the workers tell the leader more than an old copy.
+      const due = merge(store, memories).filter((r) => r.key.startsWith('j/') && isNews(r, store));
+      if (due.length === 0) return opened;
+      const over = new Map(opened.items.map((i) => [i.key, i.version]));
+      for (const r of due) {
+        const conditions = [opened.fence, { key: r.key, version: over.get(r.key) ?? ABSENT }];
+        if (!(await this.insist(conditions, [{ put: r.key, value: JSON.parse(r.text) as unknown }])))
+          return this.pause();
+      }
+      this.p.log.info({ epoch: epoch.number, records: due.length }, 'copy contributed late');
+    }
+  }
+
+  /** Reads an open epoch whole. */
+  async load(epoch: Epoch, gathered = false): Promise<Opened | null> {
+    const listed = await this.p.raw.list('', 0);
+    if (listed.outcome !== 'listed') return this.pause();
+    const fence = listed.items.find((i) => i.key === fenceKey(epoch.id));
+    if (fence === undefined) return this.pause();
+    const versions = new Map(listed.items.map((i) => [i.key, i.version]));
+    const here = this.contributions(listed.items).filter((c) => c.id === epoch.id);
+    const pending: Pending[] = [];
+    for (const r of standing(here).values())
+      if ((versions.get(r.key) ?? ABSENT) === r.over)
+        pending.push({ key: r.key, over: r.over, text: r.text });
+    const replaced = new Set(pending.map((r) => r.key));
+    return {
+      epoch,
+      fence: { key: fence.key, version: fence.version },
+      items: listed.items.filter(
+        (i) => !isControlKey(i.key) && !replaced.has(i.key) && !isTombstone(i.value),
+      ),
+      pending,
+      leftovers: listed.items.filter((i) => i.key.startsWith('m/') || isTombstone(i.value)).map((i) => i.key),
+      revision: listed.revision,
+      latest: listed.latest,
+      gathered,
+    };
+  }
+}
+
+function itemOf(p: Pending): Item {
+  return { key: p.key, value: JSON.parse(p.text) as unknown, version: p.over };
+}
+
+/** A late copy's word about a job counts where the job is unknown, or open there and over in the copy. */
+function isNews(r: Repair, store: Memory): boolean {
+  const there = store.get(r.key);
+  return there === undefined || !r.text.includes('"phase":"active"');
+}
+
+/** Of all contributions, what stands for each key. */
+function standing(contributions: readonly Contribution[]): Map<string, Repair> {
+  const found = new Map<string, Repair>();
+  const nothing: Memory = { epoch: 0, get: () => undefined, keys: () => [] };
+  const memories = contributions.flatMap((c) => memoriesOf(c.repairs));
+  const over = new Map(contributions.flatMap((c) => c.repairs.map((r) => [r.key, r.over] as const)));
+  for (const r of merge(nothing, memories)) found.set(r.key, { ...r, over: over.get(r.key) ?? ABSENT });
+  return found;
+}
+
+/** Repairs as memories, one for each epoch in which they were seen. */
+function memoriesOf(repairs: readonly Repair[]): Memory[] {
+  const byEpoch = new Map<number, Map<string, Repair>>();
+  for (const r of repairs) {
+    const of = byEpoch.get(r.epoch) ?? new Map<string, Repair>();
+    byEpoch.set(r.epoch, of.set(r.key, r));
+  }
+  return [...byEpoch].map(([epoch, of]) => ({ epoch, get: (key) => of.get(key), keys: () => of.keys() }));
+}
+
+/** Whether the last leader's own copy is among those that were merged: then no intent is missing. */
+export function isContinuous(markers: ReadonlyMap<NodeId, Marker>): boolean {
+  const seen = Math.max(...[...markers.values()].map((m) => m.seen));
+  const last = [...markers.values()].find((m) => m.led === seen);
+  return last?.continuous === true;
+}
--- /dev/null
+++ b/packages/recovery/src/guard.ts
@@ -0,0 +1,598 @@
+import type { WallMs } from '@spurbridge/model';
+import { JOB_PREFIX, TASKS_PREFIX, jobKey } from '@spurbridge/model';
+import type { Clock, Ms, Urgency } from '@spurbridge/net';
+import type {
+  CommitOutcome,
+  GrantOutcome,
+  ListOutcome,
+  ReadOutcome,
+  Refusal,
+  StateStore,
+  TouchOutcome,
+  WatchOutcome,
+} from '@spurbridge/store';
+import type {
+  Change,
+  Condition,
+  Item,
+  JobId,
+  LeaseId,
+  NodeId,
+  PeerStatus,
+  Revision,
+  Token,
+  Version,
+  WatchEvent,
+} from '@spurbridge/wire';
+import { ABSENT } from '@spurbridge/wire';
+import { Auditor } from './audit.js';
+import type { Seen } from './copy.js';
+import { Copy, contradiction, phaseOf } from './copy.js';
+import type { Epoch } from './epoch.js';
+import { EPOCH_KEY, NO_EPOCH, isControlKey, tokenIn } from './epoch.js';
+import type { Bringing, Opened } from './gathering.js';
+import { Gathering, TOMBSTONE_VALUE, isTombstone } from './gathering.js';
+import type { Memory } from './merge.js';
+import { Overlay } from './overlay.js';
+import { Soundness } from './soundness.js';
+
+/** Changes are taken in together: a watch for each of them would cost as many requests. */
+const WATCH_PAUSE_MS = 300;
+const WATCH_MS = 2000;
+const AUDIT_MS = 1000;
+const RETRY_MS = 150;
+/** A peer not heard for this long is no longer counted on. */
+const PEER_MS = 4000;
+/** A first start is believed after this: all peers were heard without a copy, or twice waited for. */
+const FIRST_MS = 700;
+const FIRST_ALONE_MS = 2000;
+/** Users repeat a submission for so long: until then an id that is not known may yet come. */
+const RETRIES_MS = 60_000;
+const WRITE_BACK_MS = 250;
+const REFUSED: Refusal = { outcome: 'refused' };
+const UNKNOWN: Refusal = { outcome: 'unknown' };
+
+/** Snapshots that outlive all nodes, where the operators keep some. */
+export interface SnapshotShelf {
+  /** The newest that is whole and of this deployment (null: not known yet), as a memory; null without one. */
+  latest(deployment: string | null): Promise<(Memory & { readonly revision: number }) | null>;
+}
+
+export interface GuardParts {
+  readonly raw: StateStore;
+  readonly clock: Clock;
+  readonly wallNow: () => WallMs;
+  readonly node: NodeId;
+  readonly nodes: number;
+  readonly limits: { readonly valueKb: number; readonly txnOps: number };
+  readonly log: { info(fields: object, message: string): void };
+  /** Told of every change of trust, after it. */
+  readonly changed: () => void;
+  readonly shelf?: SnapshotShelf;
+}
+
+/**
+ * A state service that can be doubted (docs/state-loss.md). It is the raw one as long as nothing speaks against it;
+ * otherwise every call is refused until an epoch is open in which what the nodes remember was put back.
+ */
+export class GuardedStore implements StateStore {
+  private readonly soundness: Soundness;
+  private copy = new Copy();
+  private copyOf = NO_EPOCH;
+  private overlay = new Overlay([], ABSENT);
+  private leftovers: string[] = [];
+  private epoch: Epoch | null = null;
+  private fence: Condition = { key: '', version: ABSENT };
+  /** Highest revision known to have been in this epoch. */
+  private claimed = 0;
+  private highest = 0;
+  private isContinuous = false;
+  private deployment: string | null = null;
+  private attachedAt: Ms;
+  private seenToken = 0 as Token;
+  private ledToken = 0 as Token;
+  private lease = 0;
+  private doubtedAt: Ms | null = null;
+  private readonly peers = new Map<NodeId, { at: Ms; status: PeerStatus }>();
+  private readonly startedAt: Ms;
+  private readonly gathering: Gathering;
+  private readonly auditor: Auditor;
+  private snapshot: (Memory & { readonly revision: number }) | null = null;
+
+  constructor(private readonly p: GuardParts) {
+    this.startedAt = p.clock.now();
+    this.attachedAt = this.startedAt;
+    this.soundness = new Soundness((from, to, evidence) => {
+      p.log.info({ from, to, evidence, epoch: this.copyOf, revision: this.claimed }, 'state service');
+    });
+    this.gathering = new Gathering({
+      ...p,
+      valueKb: p.limits.valueKb,
+      brings: () => this.brings(),
+      heard: () => this.heard(),
+      met: (number) => {
+        this.highest = Math.max(this.highest, number);
+      },
+    });
+    this.auditor = new Auditor(p.limits.txnOps * 4 - 2);
+  }
+
+  get trusted(): boolean {
+    return this.soundness.state === 'sound';
+  }
+
+  /** Whether it followed the epoch without a gap: what it read is all that was written. */
+  get continuous(): boolean {
+    return this.trusted && this.isContinuous;
+  }
+
+  /** Whether this epoch opened without the last leader's copy. */
+  get hasLost(): boolean {
+    return this.epoch !== null && !this.epoch.continuous;
+  }
+
+  /** Phase of a job by its record; null: no such record was ever seen. */
+  phaseOf(id: JobId): string | null {
+    const seen = this.copy.get(jobKey(id));
+    return seen === undefined ? null : phaseOf(seen.text);
+  }
+
+  /** Bytes of the copy's keys and values. */
+  get copyBytes(): number {
+    return this.copy.bytes();
+  }
+
+  /** The copy as a consistent memory up to its revision, for a snapshot; null while the store is not trusted. */
+  remembered(): { readonly epoch: Epoch; readonly revision: Revision; readonly copy: Copy } | null {
+    if (!this.trusted || this.epoch === null) return null;
+    return { epoch: this.epoch, revision: this.copy.revision, copy: this.copy };
+  }
+
+  tokenOf(version: Version): Token {
+    return tokenIn(this.epoch?.floor ?? 0, version);
+  }
+
+  failingSince(): Ms | null {
+    return this.doubtedAt ?? this.p.raw.failingSince();
+  }
+
+  // --- what others say -----------------------------------------------------------------------------
+
+  /** What peers are told of this node's trust. */
+  status(): Pick<PeerStatus, 'epoch' | 'revision' | 'trusted' | 'continuous'> {
+    const { trusted, continuous } = this;
+    return { epoch: this.copyOf, revision: trusted ? this.claimed : 0, trusted, continuous };
+  }
+
+  peerSaid(status: PeerStatus): void {
+    this.peers.set(status.node, { at: this.p.clock.now(), status });
+    this.highest = Math.max(this.highest, status.epoch);
+    if (this.soundness.state === 'unattached' || !this.trusted) return;
+    if (status.epoch > this.copyOf) this.doubt(`${status.node} is in epoch ${status.epoch}`);
+    else if (status.epoch < this.copyOf) return;
+    else if (!status.trusted) this.doubt(`${status.node} doubts it`);
+    else {
+      this.claimed = Math.max(this.claimed, status.revision);
+      if (status.continuous) this.isContinuous = true;
+    }
+  }
+
+  /** A worker, or a leader's record, showed this token. */
+  tokenShown(token: Token): void {
+    if (token <= this.seenToken) return;
+    this.seenToken = token;
+    // A leader of this epoch was elected at that revision: the store must have reached it.
+    if (this.epoch !== null && token > this.epoch.floor)
+      this.claimed = Math.max(this.claimed, token - this.epoch.floor);
+  }
+
+  led(token: Token): void {
+    this.ledToken = token;
+    this.tokenShown(token);
+  }
+
+  /** The leader knows what is on every machine: nothing written before can be missing from now on. */
+  settled(): void {
+    this.isContinuous = true;
+  }
+
+  /** Something cannot be in a sound store: nothing it says is acted on until the copies were put back. */
+  doubt(evidence: string): void {
+    if (this.soundness.state !== 'sound' && this.soundness.state !== 'unattached') return;
+    this.doubtedAt = this.p.clock.now();
+    this.soundness.enter('doubtful', evidence);
+    this.p.changed();
+  }
+
+  private heard(): { readonly peers: readonly NodeId[]; readonly ahead: number } {
+    const now = this.p.clock.now();
+    const alive = [...this.peers].filter(([, s]) => now - s.at < PEER_MS);
+    return {
+      peers: alive.map(([node]) => node),
+      ahead: Math.max(0, ...alive.map(([, s]) => s.status.epoch)),
+    };
+  }
+
+  private brings(): Bringing {
+    const own: Memory[] =
+      this.copyOf === NO_EPOCH
+        ? []
+        : [{ epoch: this.copyOf, get: (k) => this.copy.get(k), keys: () => this.copy.keys() }];
+    return {
+      copyOf: this.copyOf,
+      highest: Math.max(this.highest, this.copyOf),
+      deployment: this.deployment,
+      led: this.ledToken,
+      seen: this.seenToken,
+      continuous: this.isContinuous,
+      lease: this.lease,
+      memories: this.snapshot === null ? own : [...own, this.snapshot],
+    };
+  }
+
+  // --- its life --------------------------------------------------------------------------------------
+
+  async run(): Promise<never> {
+    void this.auditLoop().catch((e: unknown) => {
+      this.p.log.info({ error: String(e) }, 'audits ended');
+    });
+    for (;;) {
+      try {
+        await this.step();
+      } catch (e) {
+        // Whatever was read could not be understood: a store that holds such things is not trusted.
+        this.p.log.info({ error: String(e) }, 'state service cannot be read');
+        if (this.soundness.state === 'rebuilding') this.soundness.enter('doubtful', String(e));
+        else this.doubt(String(e));
+        await this.p.clock.sleep(RETRY_MS);
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    switch (this.soundness.state) {
+      case 'unattached':
+        return this.attach();
+      case 'sound':
+        return this.follow();
+      case 'doubtful':
+        this.soundness.enter('rebuilding', 'what the nodes remember is gathered');
+        return;
+      case 'rebuilding': {
+        const opened = await this.gathering.attempt();
+        if (opened !== null) this.enter(opened);
+      }
+    }
+  }
+
+  private async attach(): Promise<void> {
+    this.snapshot ??= (await this.p.shelf?.latest(this.deployment)) ?? null;
+    const found = await this.gathering.find();
+    if (found === null) return this.p.clock.sleep(RETRY_MS);
+    const { epoch } = found;
+    if (epoch === null) return this.attachToNothing();
+    if (epoch.phase !== 'open' || epoch.number < this.heard().ahead)
+      return this.doubt(`epoch ${epoch.number} is ${epoch.phase}, of others ${this.heard().ahead}`);
+    const opened = await this.gathering.load(epoch);
+    if (opened === null) return;
+    const s = this.snapshot;
+    if (s !== null && (s.epoch > epoch.number || (s.epoch === epoch.number && s.revision > opened.revision)))
+      return this.doubt(`a snapshot is later: epoch ${s.epoch}, revision ${s.revision}`);
+    this.enter(opened);
+  }
+
+  /** No epoch's record: a first start, or a store that was emptied. */
+  private async attachToNothing(): Promise<void> {
+    const now = this.p.clock.now();
+    const { peers, ahead } = this.heard();
+    const aloneMs = peers.length >= this.p.nodes - 1 ? FIRST_MS : FIRST_ALONE_MS;
+    if (this.seenToken > 0 || this.snapshot !== null) this.doubt('no epoch, but a token or a snapshot');
+    else if (ahead > 0 || now - this.startedAt < aloneMs) await this.p.clock.sleep(50);
+    else {
+      const listed = await this.p.raw.list('', 0);
+      if (listed.outcome !== 'listed') await this.p.clock.sleep(RETRY_MS);
+      else if (listed.items.some((i) => !isControlKey(i.key))) this.doubt('records without an epoch');
+      else await this.gathering.begin();
+    }
+  }
+
+  private enter(o: Opened): void {
+    const { epoch, fence, revision } = o;
+    const atFence = o.pending.map((r) => ({
+      key: r.key,
+      value: JSON.parse(r.text) as unknown,
+      // Newer than all from before the fence, older than all that is written after it.
+      version: fence.version,
+    }));
+    this.copy.replace([...o.items, ...atFence], revision);
+    this.copyOf = epoch.number;
+    this.overlay = new Overlay(o.pending, fence.version);
+    this.leftovers = [...o.leftovers];
+    this.deployment = epoch.deployment;
+    // A node that comes later knows of the epoch's opening only what its peers say; nothing was before the first.
+    const nothing = epoch.first && ![...this.copy.keys()].some((k) => k.startsWith(JOB_PREFIX));
+    this.isContinuous = o.gathered ? epoch.continuous : nothing;
+    this.epoch = epoch;
+    this.fence = fence;
+    this.claimed = revision;
+    this.attachedAt = this.p.clock.now();
+    this.snapshot = null;
+    this.doubtedAt = null;
+    this.auditor.restart();
+    const impossible = o.items.find((i) => i.version > o.latest);
+    this.soundness.enter('sound', `epoch ${epoch.number} at ${revision}, ${o.pending.length} to write back`);
+    this.p.changed();
+    if (impossible !== undefined) this.doubt(`${impossible.key} is later than the store`);
+  }
+
+  /** Takes in what changed, for as long as it is trusted. */
+  private async follow(): Promise<void> {
+    const { epoch } = this;
+    const seen = await this.asked(() => this.p.raw.watch('', this.copy.revision, WATCH_MS));
+    if (this.epoch !== epoch || !this.trusted) return;
+    if (seen.outcome === 'compacted') return this.doubt('the watch was left behind');
+    if (seen.outcome !== 'events') return this.p.clock.sleep(RETRY_MS);
+    if (seen.events.some((e) => 'put' in e && e.put === EPOCH_KEY && e.version > this.fence.version))
+      await this.checkEpoch();
+    this.take(seen.events, seen.revision);
+    if (seen.events.length > 0) await this.p.clock.sleep(WATCH_PAUSE_MS);
+  }
+
+  private async checkEpoch(): Promise<void> {
+    const found = await this.gathering.find();
+    if (found !== null && found.epoch?.id !== this.epoch?.id) this.doubt('the fence was moved');
+  }
+
+  private take(events: readonly WatchEvent[], revision: Revision): void {
+    const plain = events.map((e) => plainEvent(e));
+    for (const e of plain) {
+      const key = 'put' in e ? e.put : e.delete;
+      this.overlay.changed(key, e.version);
+      if ('put' in e && !isControlKey(key)) this.auditor.changed(key);
+    }
+    this.copy.watched(plain, revision);
+  }
+
+  // --- auditing ----------------------------------------------------------------------------------------
+
+  /** Asks the store to confirm, without a change, that keys are as they were last seen here. */
+  private async auditLoop(): Promise<never> {
+    for (;;) {
+      await this.p.clock.sleep(AUDIT_MS);
+      if (this.trusted) await this.audit();
+    }
+  }
+
+  private async audit(): Promise<void> {
+    const { epoch } = this;
+    const conditions = this.auditor.choose(this.copy, (key) => this.overlay.has(key));
+    const outcome = await this.compare(conditions);
+    if (outcome.outcome !== 'conflict') return;
+    for (const key of outcome.failed) {
+      const known = this.copy.get(key);
+      const found = await this.p.raw.read(key, 0);
+      if (this.epoch !== epoch || !this.trusted) return;
+      if (found.outcome === 'found') {
+        if (!isTombstone(found.item.value)) this.believes(key, known, found.item.version, found.item.value);
+        if (!this.trusted) return;
+      } else if (found.outcome === 'absent') {
+        // Deleted meanwhile, or lost: the watch shows a deletion.
+        if (!this.believes(key, known, ABSENT, undefined)) return;
+        this.auditor.suspect(key, found.revision);
+      }
+    }
+    const gone = this.auditor.lost(this.copy);
+    if (gone !== null) this.doubt(`${gone} is gone`);
+  }
+
+  /** A transaction without changes; a fence that fails it ends the trust. */
+  private async compare(conditions: readonly Condition[]): Promise<CommitOutcome> {
+    const { fence } = this;
+    const outcome = await this.asked(() => this.p.raw.commit([fence, ...conditions], [], 0));
+    return this.fenced(outcome, fence);
+  }
+
+  private fenced(outcome: CommitOutcome, fence: Condition): CommitOutcome {
+    if (outcome.outcome !== 'conflict' || !outcome.failed.includes(fence.key)) return outcome;
+    if (fence.key === this.fence.key) this.doubt('the fence is gone');
+    return REFUSED;
+  }
+
+  /** Every answer's revision must be at least what was known when it was asked for. */
+  private async asked<T extends { readonly outcome: string; readonly revision?: Revision }>(
+    call: () => Promise<T | Refusal>,
+  ): Promise<T | Refusal> {
+    const { epoch, claimed } = this;
+    const answer = await call();
+    if (!('revision' in answer) || answer.revision === undefined || this.epoch !== epoch) return answer;
+    if (answer.revision < claimed) {
+      this.doubt(`revision ${answer.revision} was answered, ${claimed} was known`);
+      return answer.outcome === 'committed' ? UNKNOWN : REFUSED;
+    }
+    this.claimed = Math.max(this.claimed, answer.revision);
+    return answer;
+  }
+
+  // --- the state service as everybody else uses it -----------------------------------------------------
+
+  async read(key: string, urgency: Urgency): Promise<ReadOutcome> {
+    if (!this.trusted) return REFUSED;
+    const { epoch } = this;
+    const known = this.copy.get(key);
+    const found = await this.asked<Extract<ReadOutcome, { outcome: 'found' | 'absent' }>>(() =>
+      this.p.raw.read(key, urgency),
+    );
+    if (this.epoch !== epoch || !this.trusted) return REFUSED;
+    if (found.outcome === 'found') {
+      if (isTombstone(found.item.value)) return { outcome: 'absent', revision: this.claimed as Revision };
+      const standIn = this.overlay.standIn(key, found.item.version);
+      if (standIn !== null) return { outcome: 'found', item: standIn };
+      return this.believes(key, known, found.item.version, found.item.value) ? found : REFUSED;
+    }
+    if (found.outcome !== 'absent') return found;
+    const standIn = this.overlay.standIn(key, ABSENT);
+    if (standIn !== null) return { outcome: 'found', item: standIn };
+    if (!this.believes(key, known, ABSENT, undefined)) return REFUSED;
+    // Without a whole copy, an id that is not known may have been accepted all the same.
+    const early = this.p.clock.now() - this.attachedAt < RETRIES_MS;
+    return key.startsWith(JOB_PREFIX) && !this.isContinuous && early ? REFUSED : found;
+  }
+
+  private believes(key: string, known: Seen | undefined, version: Version, value: unknown): boolean {
+    const why = contradiction(key, known, version, value);
+    if (why !== null) this.doubt(why);
+    return why === null;
+  }
+
+  async list(prefix: string, urgency: Urgency): Promise<ListOutcome> {
+    if (!this.trusted) return REFUSED;
+    const { epoch } = this;
+    const listed = await this.asked<Extract<ListOutcome, { outcome: 'listed' }>>(() =>
+      this.p.raw.list(prefix, urgency),
+    );
+    if (this.epoch !== epoch || !this.trusted) return REFUSED;
+    if (listed.outcome !== 'listed') return listed;
+    const items: Item[] = [];
+    const present = new Set<string>();
+    for (const i of listed.items) {
+      present.add(i.key);
+      if (isTombstone(i.value)) continue;
+      const standIn = this.overlay.standIn(i.key, i.version);
+      // What became known after the list was begun says nothing against it.
+      const known = this.copy.get(i.key);
+      const old = known !== undefined && known.version <= listed.revision ? known : undefined;
+      if (standIn === null && !this.believes(i.key, old, i.version, i.value)) return REFUSED;
+      items.push(standIn ?? i);
+    }
+    for (const i of this.overlay.absentBelow(prefix)) if (!present.has(i.key)) items.push(i);
+    if (prefix === JOB_PREFIX)
+      for (const [key, known] of this.copy.entries())
+        if (
+          key.startsWith(prefix) &&
+          known.version <= listed.revision &&
+          !present.has(key) &&
+          !this.overlay.has(key)
+        ) {
+          this.doubt(`${key} is gone`);
+          return REFUSED;
+        }
+    return { ...listed, items };
+  }
+
+  async commit(
+    conditions: readonly Condition[],
+    changes: readonly Change[],
+    urgency: Urgency,
+  ): Promise<CommitOutcome> {
+    if (!this.trusted) return REFUSED;
+    const { epoch, fence } = this;
+    const real: Condition[] = [fence];
+    const failed: string[] = [];
+    for (const c of conditions) {
+      const version = this.overlay.real(c);
+      // A record that was seen is not taken for one that never was, whatever the store says now.
+      const lost = c.version === ABSENT && c.key.startsWith(JOB_PREFIX) && this.copy.get(c.key) !== undefined;
+      if (version === null || lost) failed.push(c.key);
+      else real.push({ key: c.key, version });
+    }
+    if (failed.length > 0) return { outcome: 'conflict', failed, revision: this.claimed as Revision };
+    const buried: string[] = [];
+    const written = changes.map((c): Change => {
+      if ('put' in c || !this.overlay.has(c.delete)) return c;
+      // Its page would stand in for it again: a tombstone stays until the pages are gone.
+      buried.push(c.delete);
+      return { put: c.delete, value: TOMBSTONE_VALUE };
+    });
+    const outcome = this.fenced(await this.asked(() => this.p.raw.commit(real, written, urgency)), fence);
+    if (this.epoch !== epoch || !this.trusted) return outcome.outcome === 'committed' ? UNKNOWN : outcome;
+    if (outcome.outcome !== 'committed') return outcome;
+    this.leftovers.push(...buried);
+    this.copy.committed(
+      changes.filter((c) => !isControlKey('put' in c ? c.put : c.delete)),
+      outcome.revision,
+    );
+    for (const c of changes) {
+      const key = 'put' in c ? c.put : c.delete;
+      this.overlay.changed(key, outcome.revision as number as Version);
+      if ('put' in c && !isControlKey(key)) this.auditor.changed(key);
+    }
+    return outcome;
+  }
+
+  async watch(prefix: string, after: Revision, waitMs: number): Promise<WatchOutcome> {
+    if (!this.trusted) return REFUSED;
+    const { epoch } = this;
+    const seen = await this.asked<Exclude<WatchOutcome, Refusal>>(() =>
+      this.p.raw.watch(prefix, after, waitMs),
+    );
+    if (this.epoch !== epoch || !this.trusted) return REFUSED;
+    return seen.outcome === 'events' ? { ...seen, events: seen.events.map(plainEvent) } : seen;
+  }
+
+  async grantLease(ttlMs: number): Promise<GrantOutcome> {
+    if (!this.trusted) return REFUSED;
+    const granted = await this.p.raw.grantLease(ttlMs);
+    if (granted.outcome === 'granted') this.lease = Math.max(this.lease, granted.lease);
+    return granted;
+  }
+
+  /** A renewal counts only if fence and leader's record stand: the id may be somebody else's by now. */
+  async renewLease(lease: LeaseId, held: Condition): Promise<TouchOutcome> {
+    if (!this.trusted) return REFUSED;
+    const [touched, compared] = await Promise.all([this.p.raw.renewLease(lease, held), this.compare([held])]);
+    if (compared.outcome === 'conflict') return { outcome: 'ended' };
+    if (compared.outcome !== 'committed') return touched.outcome === 'ended' ? touched : UNKNOWN;
+    return this.trusted ? touched : REFUSED;
+  }
+
+  endLease(lease: LeaseId): Promise<void> {
+    return this.trusted ? this.p.raw.endLease(lease) : Promise.resolve();
+  }
+
+  // --- writing back ------------------------------------------------------------------------------------
+
+  /** Writes stand-ins back as records of their own, for as long as `goesOn`; then the pages go. */
+  async writeBack(goesOn: () => boolean): Promise<void> {
+    const began = this.p.clock.now();
+    let written = 0;
+    while (goesOn()) {
+      await this.p.clock.sleep(WRITE_BACK_MS);
+      if (!this.trusted || !goesOn()) continue;
+      const batch = this.overlay.first(this.p.limits.txnOps - 1, rank);
+      if (batch.length > 0) {
+        const outcome = await this.commit(
+          batch.map((i) => ({ key: i.key, version: i.version })),
+          batch.map((i) => ({ put: i.key, value: i.value })),
+          3,
+        );
+        if (outcome.outcome === 'committed') written += batch.length;
+        if (outcome.outcome === 'committed' && this.overlay.size === 0)
+          this.p.log.info(
+            { epoch: this.copyOf, records: written, ms: Math.round(this.p.clock.now() - began) },
+            'all written back',
+          );
+      } else if (this.leftovers.length > 0) await this.clean();
+    }
+  }
+
+  /** Markers and pages first: a tombstone that went before its page would bring the record back. */
+  private async clean(): Promise<void> {
+    const order = (key: string): number => (key.endsWith('/done') ? 0 : isControlKey(key) ? 1 : 2);
+    this.leftovers.sort((a, b) => order(a) - order(b));
+    const now = this.leftovers.slice(0, this.p.limits.txnOps - 1);
+    const outcome = await this.commit(
+      [],
+      now.map((key) => ({ delete: key })),
+      3,
+    );
+    if (outcome.outcome === 'committed') this.leftovers = this.leftovers.filter((k) => !now.includes(k));
+  }
+}
+
+function plainEvent(e: WatchEvent): WatchEvent {
+  return 'put' in e && isTombstone(e.value) ? { delete: e.put, version: e.version } : e;
+}
+
+function rank(key: string): number {
+  return key.startsWith(JOB_PREFIX) ? 0 : key.startsWith(TASKS_PREFIX) ? 1 : 2;
+}
--- /dev/null
+++ b/packages/recovery/src/overlay.ts
@@ -0,0 +1,67 @@
+import type { Condition, Item, Version } from '@spurbridge/wire';
+import type { Pending } from './gathering.js';
+
+interface Entry extends Pending {
+  /** Names the entry in conditions: negative, so that no version of the store is like it. */
+  readonly virtual: Version;
+}
+
+/** Entries of pages that stand in for their keys until those are written again. */
+export class Overlay {
+  private readonly entries = new Map<string, Entry>();
+
+  constructor(
+    pending: readonly Pending[],
+    private readonly fencedAt: Version,
+  ) {
+    pending.forEach((p, i) => this.entries.set(p.key, { ...p, virtual: -(i + 1) as Version }));
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  has(key: string): boolean {
+    return this.entries.has(key);
+  }
+
+  /** What stands in for a key that the store has at this version; null where the store's own stands. */
+  standIn(key: string, version: Version): Item | null {
+    const e = this.entries.get(key);
+    if (e === undefined) return null;
+    if (e.over !== version) {
+      this.entries.delete(key);
+      return null;
+    }
+    return { key, value: JSON.parse(e.text) as unknown, version: e.virtual };
+  }
+
+  absentBelow(prefix: string): Item[] {
+    const found: Item[] = [];
+    for (const e of this.entries.values())
+      if (e.key.startsWith(prefix) && e.over === 0)
+        found.push({ key: e.key, value: JSON.parse(e.text) as unknown, version: e.virtual });
+    return found;
+  }
+
+  /** The store's version for a condition that was read here; null where it cannot hold any more. */
+  real(c: Condition): Version | null {
+    const e = this.entries.get(c.key);
+    if (c.version < 0) return e?.virtual === c.version ? e.over : null;
+    return e === undefined ? c.version : null;
+  }
+
+  /** The key was written after the fence moved. */
+  changed(key: string, version: Version): void {
+    if (version > this.fencedAt) this.entries.delete(key);
+  }
+
+  /** Some entries, those of the lowest rank first. */
+  first(most: number, rank: (key: string) => number): Item[] {
+    const keys = [...this.entries.keys()].sort((a, b) => rank(a) - rank(b)).slice(0, most);
+    return keys.flatMap((key) => {
+      const e = this.entries.get(key);
+      return e === undefined ? [] : [{ key, value: JSON.parse(e.text) as unknown, version: e.virtual }];
+    });
+  }
+}
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -38,7 +38,15 @@
   | { readonly outcome: 'absent'; readonly revision: Revision }
   | Refusal;
 export type ListOutcome =
-  { readonly outcome: 'listed'; readonly items: readonly Item[]; readonly revision: Revision } | Refusal;
+  | {
+      readonly outcome: 'listed';
+      readonly items: readonly Item[];
+      /** Of the first page: a watch from it misses nothing. */
+      readonly revision: Revision;
+      /** Of the last page: no item is later. */
+      readonly latest: Revision;
+    }
+  | Refusal;
 export type WatchOutcome =
   | { readonly outcome: 'events'; readonly revision: Revision; readonly events: readonly WatchEvent[] }
   | { readonly outcome: 'compacted' }
@@ -143,7 +151,7 @@
     );
   }
 
-  /** All items of a prefix. `revision` is that of the first page: a watch from it misses nothing. */
+  /** All items of a prefix, a page at a time. */
   async list(prefix: string, urgency: Urgency): Promise<ListOutcome> {
     const items: Item[] = [];
     let revision: Revision | null = null;
@@ -158,7 +166,8 @@
       revision ??= page.revision;
       items.push(...page.items);
       const last = page.items.at(-1);
-      if (!page.more || last === undefined) return { outcome: 'listed', items, revision };
+      if (!page.more || last === undefined)
+        return { outcome: 'listed', items, revision, latest: page.revision };
       from = last.key;
     }
   }
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -5,7 +5,8 @@
 import type { CommitOutcome, StateStore } from './client.js';
 
 export const LEADER_KEY = 'leader';
-const TTL_MS = 3000;
+/** How long a leader's lease lasts without a renewal, in milliseconds. */
+export const LEASE_TTL_MS = 3000;
 const RENEW_MS = 800;
 const RETRY_MS = 200;
 const TRUSTED_DRIFT = 0.001;
@@ -88,7 +89,9 @@
   }
 
   private validUntil(): number {
-    return this.confirmedAt === null ? 0 : later(this.confirmedAt, TTL_MS * (1 - TRUSTED_DRIFT) - MARGIN_MS);
+    return this.confirmedAt === null
+      ? 0
+      : later(this.confirmedAt, LEASE_TTL_MS * (1 - TRUSTED_DRIFT) - MARGIN_MS);
   }
 
   /** Time since the lease was last confirmed, counted from the sending of the renewal. */
@@ -214,7 +217,7 @@
   private async campaign(): Promise<void> {
     this.enter('campaigning', 'nobody leads');
     const sentAt = this.clock.now();
-    const granted = await this.store.grantLease(TTL_MS);
+    const granted = await this.store.grantLease(LEASE_TTL_MS);
     if (granted.outcome !== 'granted') {
       this.enter('following', 'no lease was granted');
       await this.clock.sleep(RETRY_MS);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -6,3 +6,4 @@
 export * from './world.js';
 export * from './fixtures.js';
 export * from './feed.js';
+export * from './drawn.js';
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -8,7 +8,16 @@
   TouchOutcome,
   WatchOutcome,
 } from '@spurbridge/store';
-import type { Change, Condition, Item, LeaseId, Revision, Version, WatchEvent } from '@spurbridge/wire';
+import type {
+  Change,
+  Condition,
+  Item,
+  LeaseId,
+  Revision,
+  Token,
+  Version,
+  WatchEvent,
+} from '@spurbridge/wire';
 import type { ProcessClock, SimTime } from './clock.js';
 import type { SimNetwork } from './network.js';
 
@@ -159,7 +168,12 @@
       .filter(([key]) => key.startsWith(prefix))
       .sort(([a], [b]) => (a < b ? -1 : 1))
       .map(([key, e]) => ({ key, value: JSON.parse(e.value), version: e.version as Version }));
-    return { outcome: 'listed', items, revision: this.revision as Revision };
+    return {
+      outcome: 'listed',
+      items,
+      revision: this.revision as Revision,
+      latest: this.revision as Revision,
+    };
   }
 
   /** Commits over the limits of the protocol: the real service would answer 400 for ever. */
@@ -182,7 +196,7 @@
     if (failed.length > 0) return { outcome: 'conflict', failed, revision: this.revision as Revision };
     for (const c of changes)
       if ('put' in c && c.lease !== undefined && !this.leases.has(c.lease)) return { outcome: 'no_lease' };
-    this.revision += 1;
+    if (changes.length > 0) this.revision += 1;
     for (const c of changes)
       if ('put' in c) this.change(c.put, JSON.stringify(c.value), c.lease ?? null);
       else this.change(c.delete, null, null);
@@ -217,15 +231,98 @@
   now(): Revision {
     return this.revision as Revision;
   }
+
+  // --- losing data ---------------------------------------------------------------------------------
+
+  /** A consistent point, to be put back later. */
+  checkpoint(): Checkpoint {
+    return {
+      entries: new Map([...this.entries].map(([key, e]) => [key, { ...e }])),
+      leases: new Map([...this.leases].map(([id, l]) => [id, { ...l }])),
+      log: [...this.log],
+      revision: this.revision,
+      nextLease: this.nextLease,
+    };
+  }
+
+  /** Back to an earlier point, revisions and leases too; every lease has its full time again. */
+  restore(c: Checkpoint, withEntries = true): void {
+    this.entries.clear();
+    if (withEntries) for (const [key, e] of c.entries) this.entries.set(key, { ...e });
+    this.leases.clear();
+    for (const [id, l] of c.leases) {
+      this.leases.set(id, { ttl: l.ttl, ends: this.time.now + l.ttl });
+      this.watchLease(id);
+    }
+    this.log.splice(0, this.log.length, ...c.log);
+    this.revision = c.revision;
+    this.nextLease = c.nextLease;
+    this.wakeAll();
+  }
+
+  empty(): void {
+    this.restore({ entries: new Map(), leases: new Map(), log: [], revision: 0, nextLease: 1 });
+  }
+
+  /** Empties, then fills up again from the point, some keys at a time, while it already answers. */
+  refill(c: Checkpoint, keysAtOnce: number, everyMs: number): void {
+    this.restore(c, false);
+    const left = [...c.entries];
+    const fill = (): void => {
+      for (const [key, e] of left.splice(0, keysAtOnce))
+        if (!this.entries.has(key)) this.entries.set(key, { ...e });
+      if (left.length > 0) this.time.after(everyMs, fill);
+    };
+    fill();
+  }
+
+  /** Keys that are gone without a deletion that anybody could watch. */
+  lose(which: (key: string) => boolean): number {
+    const lost = [...this.entries.keys()].filter(which);
+    for (const key of lost) this.entries.delete(key);
+    return lost.length;
+  }
+
+  /** Values that can't be read any more, at their old versions. */
+  garble(which: (key: string) => boolean): number {
+    let count = 0;
+    for (const [key, e] of this.entries) {
+      if (!which(key)) continue;
+      e.value = '"?"';
+      count += 1;
+    }
+    return count;
+  }
+
+  /** Only the count of revisions is set back. */
+  setBack(revision: number): void {
+    this.revision = Math.min(this.revision, revision);
+    this.wakeAll();
+  }
+
+  private wakeAll(): void {
+    for (const w of this.waiters.splice(0)) w.wake();
+  }
+}
+
+/** All that the state service knows at one moment. */
+export interface Checkpoint {
+  readonly entries: ReadonlyMap<string, Entry>;
+  readonly leases: ReadonlyMap<number, { readonly ttl: number; readonly ends: number }>;
+  readonly log: readonly WatchEvent[];
+  readonly revision: number;
+  readonly nextLease: number;
 }
 
 /** The state service as one controller reaches it; `refused` is a 503 that this node alone gets. */
 export class SimStore implements StateStore {
+  readonly trusted = true;
   refused = false;
   private failing: Ms | null = null;
 
   constructor(
-    private readonly state: SimState,
+    /** Another one from now on, where a node reads another store than its peers. */
+    public state: SimState,
     private readonly host: string,
     private readonly clock: ProcessClock,
   ) {}
@@ -234,6 +331,10 @@
     return this.failing;
   }
 
+  tokenOf(version: Version): Token {
+    return version as number as Token;
+  }
+
   private async call<T extends { readonly outcome: string }>(
     handle: () => T,
     changes = 0,
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -2,6 +2,7 @@
 import { Controller } from '@spurbridge/controller';
 import type { DirectOutcome, Log, PeerLink, RoomFactory, Settings, WorkerLink } from '@spurbridge/controller';
 import type { Team, WallMs } from '@spurbridge/model';
+import { GuardedStore } from '@spurbridge/recovery';
 import { decodeJob } from '@spurbridge/model';
 import type {
   Attempt,
@@ -68,6 +69,7 @@
   readonly zone: string;
   clock: ProcessClock;
   store: SimStore;
+  guard: GuardedStore;
   controller: Controller;
 }
 
@@ -136,21 +138,36 @@
   private boot(name: NodeId, zone: string): SimNode {
     const clock = new ProcessClock(this.time, 1 + this.random(5) / 10_000, this.random(1_000_000));
     const store = new SimStore(this.state, name, clock);
+    const log = this.o.log ?? silent;
+    const wallNow = (): WallMs => (this.wallStart + this.time.now + this.random(20)) as WallMs;
+    const settings = this.settings(name, zone);
+    const guard = new GuardedStore({
+      raw: store,
+      clock,
+      wallNow,
+      node: name,
+      nodes: 3,
+      limits: settings.state,
+      log,
+      changed: () => {
+        controller.trustChanged();
+      },
+    });
     this.incarnations += 1;
-    const controller = new Controller({
-      settings: this.settings(name, zone),
-      store,
+    const controller: Controller = new Controller({
+      settings,
+      store: guard,
       cloud: this.cloudFor(name),
       workers: this.linkFor(name),
       clock,
-      wallNow: () => (this.wallStart + this.time.now + this.random(20)) as WallMs,
-      log: this.o.log ?? silent,
+      wallNow,
+      log,
       incarnation: `${name}-${this.incarnations}`,
       rooms: this.o.rooms?.(name, this.network) ?? [],
       link: (status, receive) => this.peersOf(name, clock, status, receive),
     });
     void controller.run();
-    return { name, zone, clock, store, controller };
+    return { name, zone, clock, store, guard, controller };
   }
 
   crash(index: number): void {
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -9,6 +9,14 @@
   readonly leader: NodeId;
   /** Whether the sender has lately been served by the state service. */
   readonly stateOk: boolean;
+  /** Number of the state service's epoch that the sender has followed last; 0 when it has no copy. */
+  readonly epoch: number;
+  /** Highest revision that it knows of in that epoch. */
+  readonly revision: number;
+  /** Whether it trusts the state service now. */
+  readonly trusted: boolean;
+  /** Whether it has followed the epoch without a gap (docs/state-loss.md). */
+  readonly continuous: boolean;
 }
 
 export interface JobProgress {
@@ -27,7 +35,11 @@
   .add(new Field('node', 1, 'string'))
   .add(new Field('token', 2, 'double'))
   .add(new Field('leader', 3, 'string'))
-  .add(new Field('stateOk', 4, 'bool'));
+  .add(new Field('stateOk', 4, 'bool'))
+  .add(new Field('epoch', 5, 'uint32'))
+  .add(new Field('revision', 6, 'double'))
+  .add(new Field('trusted', 7, 'bool'))
+  .add(new Field('continuous', 8, 'bool'));
 const Progress = new Type('Progress')
   .add(new Field('job', 1, 'string'))
   .add(new Field('done', 2, 'uint32'))
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -41,8 +41,11 @@
   conditions: readonly Condition[],
   changes: readonly Change[],
 ): Record<string, unknown> {
+  const when = conditions.map((c) => ({ key: c.key, stamp: c.version }));
+  // Without changes a transaction only compares.
+  if (changes.length === 0) return { when };
   return {
-    when: conditions.map((c) => ({ key: c.key, stamp: c.version })),
+    when,
     apply: changes.map((c) =>
       'put' in c
         ? { set: c.put, value: c.value, ...(c.lease === undefined ? {} : { permit: c.lease }) }
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -121,6 +121,10 @@
       token: fc.nat(2 ** 31 - 1) as unknown as fc.Arbitrary<Token>,
       leader: label as fc.Arbitrary<NodeId>,
       stateOk: fc.boolean(),
+      epoch: fc.nat(),
+      revision: fc.nat(),
+      trusted: fc.boolean(),
+      continuous: fc.boolean(),
     }),
     progress: fc.array(fc.record({ job: jobId, done: fc.nat(), running: fc.nat() }), { maxLength: 30 }),
   });
