--- a/packages/recovery/src/epoch.ts
+++ b/packages/recovery/src/epoch.ts
@@ -9,7 +9,8 @@
 export const FENCE_PREFIX = 'e/';
 export const PAGES_PREFIX = 'm/';
 const LEADER_KEY = 'leader';
-/** More revisions than a state service makes in a second: what floors rise by (docs/state-loss.md). */
+/** More revisions than a state service makes in a millisecond, and in a second: what floors rise by. */
+const FLOOR_STEP_MS = 2 ** 10;
 const FLOOR_STEP = 2 ** 20;
 
 /** The record `epoch`: which life of the state service this is. */
@@ -73,9 +74,10 @@
 }
 
 /**
- * The floor of the next epoch: above every token that anybody was seen to use, and above all that may have been
- * used without anybody remembering, by the time of day in milliseconds.
+ * The floor of the next epoch: above the last one that is known and every token that anybody was seen to use, and above
+ * all that may have been used without anybody remembering, by the time of day in milliseconds.
  */
-export function nextFloor(seen: Token, wallMs: number): number {
-  return Math.max(seen + FLOOR_STEP, Math.floor(wallMs / 1000) * FLOOR_STEP);
+export function nextFloor(last: number, seen: Token, wallMs: number): number {
+  // By the second, two epochs shortly after one another had the same floor, and gave a token twice.
+  return Math.max(Math.max(last, seen) + FLOOR_STEP, Math.floor(wallMs) * FLOOR_STEP_MS);
 }
--- a/packages/recovery/src/gathering.ts
+++ b/packages/recovery/src/gathering.ts
@@ -20,6 +20,8 @@
 import type { Memory, Repair } from './merge.js';
 import { merge } from './merge.js';
 import type { Contribution, Marker } from './pages.js';
+import type { Pending } from './overlay.js';
+import { standsOver } from './overlay.js';
 import { encodePages, markerKey, pagesOf, readContributions } from './pages.js';
 
 const RETRY_MS = 150;
@@ -44,6 +46,8 @@
   /** Highest number that it has met, its own or a peer's. */
   readonly highest: number;
   readonly deployment: string | null;
+  /** Floor of its copy's epoch. */
+  readonly floor: number;
   readonly led: Token;
   readonly seen: Token;
   readonly continuous: boolean;
@@ -68,13 +72,6 @@
   readonly met: (number: number) => void;
 }
 
-/** An entry of a page: stands in for its key while that has the version `over`. */
-export interface Pending {
-  readonly key: string;
-  readonly over: Version;
-  readonly text: string;
-}
-
 /** An open epoch as a node finds it. */
 export interface Opened {
   readonly epoch: Epoch;
@@ -163,7 +160,7 @@
       number: number as EpochNumber,
       id: randomUUID(),
       deployment: b.deployment ?? found.epoch?.deployment ?? randomUUID(),
-      floor: first ? 0 : nextFloor(b.seen, this.p.wallNow()),
+      floor: first ? 0 : nextFloor(Math.max(b.floor, found.epoch?.floor ?? 0), b.seen, this.p.wallNow()),
       phase: first ? 'open' : 'gathering',
       // A gathering that never opened wrote no records: what it came after stands for them.
       after:
@@ -227,7 +224,13 @@
     if (listed.outcome !== 'listed') return false;
     const b = this.p.brings();
     const { base, others } = this.baseOf(epoch, listed.items);
-    const repairs = merge(base, [...b.memories, ...others]).map((r) => ({
+    // A version above the count of revisions would be given again: such a record is written anew as it is.
+    const ahead = listed.items
+      .filter((i) => i.version > listed.latest && !isControlKey(i.key) && !base.pages.has(i.key))
+      .map((i) => ({ key: i.key, epoch: epoch.after, version: i.version, text: JSON.stringify(i.value) }));
+    const due = merge(base, [...b.memories, ...others]);
+    const known = new Set(due.map((r) => r.key));
+    const repairs = [...due, ...ahead.filter((r) => !known.has(r.key))].map((r) => ({
       ...r,
       // What stands in the store itself is what an entry replaces, also where a page had replaced it before.
       over: base.own.get(r.key)?.version ?? ABSENT,
@@ -263,7 +266,10 @@
   private baseOf(
     epoch: Epoch,
     items: readonly Item[],
-  ): { readonly base: Memory & { readonly own: Copy }; readonly others: readonly Memory[] } {
+  ): {
+    readonly base: Memory & { readonly own: Copy; readonly pages: ReadonlyMap<string, Repair> };
+    readonly others: readonly Memory[];
+  } {
     const own = new Copy();
     own.replace(
       items.filter((i) => !isTombstone(i.value)),
@@ -274,6 +280,7 @@
     const others = contributions.filter((c) => c.id !== epoch.id).flatMap((c) => memoriesOf(c.repairs));
     const base = {
       own,
+      pages: here,
       epoch: epoch.after,
       get: (key: string) => here.get(key) ?? own.get(key),
       keys: () => own.keys(),
@@ -375,9 +382,10 @@
     const versions = new Map(listed.items.map((i) => [i.key, i.version]));
     const here = this.contributions(listed.items).filter((c) => c.id === epoch.id);
     const pending: Pending[] = [];
-    for (const r of standing(here).values())
-      if ((versions.get(r.key) ?? ABSENT) === r.over)
-        pending.push({ key: r.key, over: r.over, text: r.text });
+    for (const r of standing(here).values()) {
+      const there = versions.get(r.key) ?? ABSENT;
+      if (standsOver(r.over, there, fence.version)) pending.push({ key: r.key, over: there, text: r.text });
+    }
     const replaced = new Set(pending.map((r) => r.key));
     return {
       epoch,
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -11,6 +11,7 @@
   TouchOutcome,
   WatchOutcome,
 } from '@spurbridge/store';
+import { LEADER_KEY } from '@spurbridge/store';
 import type {
   Change,
   Condition,
@@ -40,6 +41,9 @@
 const WATCH_PAUSE_MS = 300;
 const WATCH_MS = 2000;
 const AUDIT_MS = 1000;
+/** Everything is read this seldom, and only up to so many records. */
+const SCRUB_AUDITS = 60;
+const SCRUB_MOST = 20_000;
 const RETRY_MS = 150;
 /** A peer not heard for this long is no longer counted on. */
 const PEER_MS = 4000;
@@ -121,6 +125,10 @@
     return this.soundness.state === 'sound';
   }
 
+  get era(): number {
+    return this.copyOf;
+  }
+
   /** Whether it followed the epoch without a gap: what it read is all that was written. */
   get continuous(): boolean {
     return this.trusted && this.isContinuous;
@@ -222,6 +230,7 @@
       copyOf: this.copyOf,
       highest: Math.max(this.highest, this.copyOf),
       deployment: this.deployment,
+      floor: this.epoch?.floor ?? 0,
       led: this.ledToken,
       seen: this.seenToken,
       continuous: this.isContinuous,
@@ -357,9 +366,12 @@
 
   /** Asks the store to confirm, without a change, that keys are as they were last seen here. */
   private async auditLoop(): Promise<never> {
-    for (;;) {
+    for (let n = 1; ; n += 1) {
       await this.p.clock.sleep(AUDIT_MS);
-      if (this.trusted) await this.audit();
+      if (!this.trusted) continue;
+      // A comparison sees versions alone; values that changed under them are seen by reading them all.
+      if (n % SCRUB_AUDITS === 0 && this.copy.size <= SCRUB_MOST) await this.list('', 3);
+      else await this.audit();
     }
   }
 
@@ -424,6 +436,10 @@
     );
     if (this.epoch !== epoch || !this.trusted) return REFUSED;
     if (found.outcome === 'found') {
+      if (key === LEADER_KEY && !isReadable(found.item.value)) {
+        this.doubt('the leader record cannot be read');
+        return REFUSED;
+      }
       if (isTombstone(found.item.value)) return { outcome: 'absent', revision: this.claimed as Revision };
       const standIn = this.overlay.standIn(key, found.item.version);
       if (standIn !== null) return { outcome: 'found', item: standIn };
@@ -465,10 +481,10 @@
       items.push(standIn ?? i);
     }
     for (const i of this.overlay.absentBelow(prefix)) if (!present.has(i.key)) items.push(i);
-    if (prefix === JOB_PREFIX)
+    if (JOB_PREFIX.startsWith(prefix))
       for (const [key, known] of this.copy.entries())
         if (
-          key.startsWith(prefix) &&
+          key.startsWith(JOB_PREFIX) &&
           known.version <= listed.revision &&
           !present.has(key) &&
           !this.overlay.has(key)
@@ -566,6 +582,8 @@
           3,
         );
         if (outcome.outcome === 'committed') written += batch.length;
+        // Written meanwhile, or filled up again with an old record: reading tells which.
+        if (outcome.outcome === 'conflict') for (const key of outcome.failed) await this.read(key, 3);
         if (outcome.outcome === 'committed' && this.overlay.size === 0)
           this.p.log.info(
             { epoch: this.copyOf, records: written, ms: Math.round(this.p.clock.now() - began) },
@@ -593,6 +611,11 @@
   return 'put' in e && isTombstone(e.value) ? { delete: e.put, version: e.version } : e;
 }
 
+/** Records are objects; a leader's of anything else ended every node that read it. */
+function isReadable(value: unknown): boolean {
+  return typeof value === 'object' && value !== null;
+}
+
 function rank(key: string): number {
   return key.startsWith(JOB_PREFIX) ? 0 : key.startsWith(TASKS_PREFIX) ? 1 : 2;
 }
--- a/packages/recovery/src/overlay.ts
+++ b/packages/recovery/src/overlay.ts
@@ -1,11 +1,26 @@
 import type { Condition, Item, Version } from '@spurbridge/wire';
-import type { Pending } from './gathering.js';
+
+/** An entry of a page: stands in for its key while that has the version `over`. */
+export interface Pending {
+  readonly key: string;
+  readonly over: Version;
+  readonly text: string;
+}
 
 interface Entry extends Pending {
+  over: Version;
   /** Names the entry in conditions: negative, so that no version of the store is like it. */
   readonly virtual: Version;
 }
 
+/**
+ * Whether an entry still stands where the store has `version` of its key. What is older than the fence was not written
+ * since: a store that fills up again shows old records where the key was absent before.
+ */
+export function standsOver(over: Version, version: Version, fencedAt: Version): boolean {
+  return version === over || version < fencedAt;
+}
+
 /** Entries of pages that stand in for their keys until those are written again. */
 export class Overlay {
   private readonly entries = new Map<string, Entry>();
@@ -29,10 +44,11 @@
   standIn(key: string, version: Version): Item | null {
     const e = this.entries.get(key);
     if (e === undefined) return null;
-    if (e.over !== version) {
+    if (!standsOver(e.over, version, this.fencedAt)) {
       this.entries.delete(key);
       return null;
     }
+    e.over = version;
     return { key, value: JSON.parse(e.text) as unknown, version: e.virtual };
   }
 
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -61,6 +61,8 @@
    * rented, forgotten or released on the strength of what was read before.
    */
   readonly trusted: boolean;
+  /** Changes when data may have been lost: no lease is believed across such a change. */
+  readonly era: number;
   /** The token of a leader whose record has this version. */
   tokenOf(version: Version): Token;
   read(key: string, urgency: Urgency): Promise<ReadOutcome>;
@@ -91,6 +93,7 @@
 
 export class HttpStateStore implements StateStore {
   readonly trusted = true;
+  readonly era = 0;
   private readonly client: JsonClient;
   private readonly watcher: JsonClient;
   private readonly requests: Budget;
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -45,6 +45,7 @@
   private staysUntil = 0 as Ms;
   private ownToken = 0 as Token;
   private ownVersion = ABSENT;
+  private ownEra = 0;
   /** The highest token known, and whose it is. */
   private seen: { token: Token; node: NodeId } | null = null;
 
@@ -85,7 +86,13 @@
   /** Whether the lease is surely held now, by our own steady clock counted from the sending. */
   holdsSurely(): boolean {
     // A state service that is doubted is like one that does not answer: docs/state-loss.md.
-    return this.current === 'leading' && this.store.trusted && this.clock.now() < this.validUntil();
+    return (
+      this.current === 'leading' &&
+      this.store.trusted &&
+      // Trusted again, it may be led by another already: the belief from before must not come back with it.
+      this.store.era === this.ownEra &&
+      this.clock.now() < this.validUntil()
+    );
   }
 
   private validUntil(): number {
@@ -216,6 +223,7 @@
 
   private async campaign(): Promise<void> {
     this.enter('campaigning', 'nobody leads');
+    const { era } = this.store;
     const sentAt = this.clock.now();
     const granted = await this.store.grantLease(LEASE_TTL_MS);
     if (granted.outcome !== 'granted') {
@@ -242,6 +250,7 @@
     }
     this.lease = granted.lease;
     this.confirmedAt = sentAt;
+    this.ownEra = era;
     this.ownVersion = committed.revision as number as Version;
     this.ownToken = this.store.tokenOf(this.ownVersion);
     this.seen = { token: this.ownToken, node: this.self };
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -317,6 +317,7 @@
 /** The state service as one controller reaches it; `refused` is a 503 that this node alone gets. */
 export class SimStore implements StateStore {
   readonly trusted = true;
+  readonly era = 0;
   refused = false;
   private failing: Ms | null = null;
 
