--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,10 +1,11 @@
 import { randomBytes } from 'node:crypto';
 import { HttpCloud } from '@spurbridge/cloud';
 import { Controller, HttpWorkerLink, Peers, buildServer } from '@spurbridge/controller';
-import type { RoomFactory, Settings } from '@spurbridge/controller';
+import type { Log, RoomFactory, Settings } from '@spurbridge/controller';
 import type { WallMs } from '@spurbridge/model';
 import { steadyClock } from '@spurbridge/net';
 import type { StateStore } from '@spurbridge/store';
+import type { SnapshotShelf } from '@spurbridge/recovery';
 import { GuardedStore } from '@spurbridge/recovery';
 import { HttpStateStore } from '@spurbridge/store';
 import type { MachineType } from '@spurbridge/wire';
@@ -23,12 +24,15 @@
   level: string,
   rooms: readonly RoomFactory[],
   addition: Addition | null,
+  flags: Readonly<Record<string, unknown>>,
 ): Promise<void> {
   const log = pino(
     { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
     destination({ fd: 2, sync: true }),
   );
+  const shelf = addition?.shelf?.(flags, log);
   const store = new GuardedStore({
+    ...(shelf === undefined ? {} : { shelf }),
     raw: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
     clock: steadyClock,
     wallNow: () => Date.now() as WallMs,
@@ -60,6 +64,7 @@
     port: Number(settings.listen.slice(colon + 1)),
   });
   log.info({ listen: settings.listen, back: settings.back, zone: settings.zone }, 'serving');
+  addition?.beside?.(flags, { settings, store, log });
   await controller.run();
 }
 
@@ -69,6 +74,10 @@
   readonly flags: (program: Command) => void;
   /** Rooms made from the flags' values; a `SettingsError` says what is wrong with them. */
   readonly rooms: (flags: Readonly<Record<string, unknown>>) => readonly RoomFactory[];
+  /** Snapshots that outlive all nodes. */
+  readonly shelf?: (flags: Readonly<Record<string, unknown>>, log: Log) => SnapshotShelf;
+  /** What runs beside the controller, as long as it does. */
+  readonly beside?: (flags: Readonly<Record<string, unknown>>, parts: BesideParts) => void;
   /** Further calls that every node serves. */
   readonly routes?: (app: FastifyInstance, parts: RouteParts) => void;
 }
@@ -79,6 +88,12 @@
   readonly types: () => readonly MachineType[];
 }
 
+export interface BesideParts {
+  readonly settings: Settings;
+  readonly store: GuardedStore;
+  readonly log: Log;
+}
+
 interface Flags {
   readonly config: string;
   readonly check?: boolean;
@@ -116,7 +131,7 @@
       process.stdout.write(`settings of ${settings.node} are valid\n`);
       return;
     }
-    await serve(settings, flags.logLevel ?? levelFrom(process.env['LOG_LEVEL']), rooms, addition);
+    await serve(settings, flags.logLevel ?? levelFrom(process.env['LOG_LEVEL']), rooms, addition, flags);
   });
   program.parseAsync().catch((e: unknown) => {
     process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
--- a/packages/recovery/src/copy.ts
+++ b/packages/recovery/src/copy.ts
@@ -1,5 +1,6 @@
-import { JOB_PREFIX, TASKS_PREFIX, foldJob } from '@spurbridge/model';
+import { JOB_PREFIX, TASKS_PREFIX, decodeJob, foldedJob } from '@spurbridge/model';
 import type { Change, Item, Revision, Version, WatchEvent } from '@spurbridge/wire';
+import { MAX_TASKS } from '@spurbridge/wire';
 import { isDeepStrictEqual } from 'node:util';
 import { isControlKey } from './epoch.js';
 
@@ -9,48 +10,79 @@
   readonly text: string;
 }
 
+/** Most tasks of a job, plus one: packs a folded job into one number, exact up to 2^34 revisions. */
+const TASKS_SPAN = MAX_TASKS + 1;
+
 /** What a node has seen of the state service: every key but the control keys (docs/state-loss.md). */
 export class Copy {
   private readonly seen = new Map<string, Seen>();
+  /** Jobs that are over, folded, by id: version, tasks and phase in a number, at a hundred bytes each. */
+  private readonly over = new Map<string, number>();
   /** Task records of each job: one that is over is folded when it has none left. */
   private readonly chunks = new Map<string, number>();
   /** All changes up to this revision are in. */
   revision = 0 as Revision;
 
   get size(): number {
-    return this.seen.size;
+    return this.seen.size + this.over.size;
   }
 
   get(key: string): Seen | undefined {
-    return this.seen.get(key);
+    const seen = this.seen.get(key);
+    if (seen !== undefined || !key.startsWith(JOB_PREFIX)) return seen;
+    const id = key.slice(JOB_PREFIX.length);
+    const packed = this.over.get(id);
+    return packed === undefined ? undefined : unpack(id, packed);
   }
 
-  entries(): IterableIterator<[string, Seen]> {
-    return this.seen.entries();
+  *entries(): IterableIterator<[string, Seen]> {
+    yield* this.seen.entries();
+    for (const [id, packed] of this.over) yield [JOB_PREFIX + id, unpack(id, packed)];
   }
 
-  keys(): IterableIterator<string> {
-    return this.seen.keys();
+  *keys(): IterableIterator<string> {
+    yield* this.seen.keys();
+    for (const id of this.over.keys()) yield JOB_PREFIX + id;
   }
 
   put(key: string, value: unknown, version: Version): void {
-    const known = this.seen.get(key);
+    const known = this.get(key);
     if (isControlKey(key) || (known !== undefined && known.version > version)) return;
     if (known === undefined) this.countChunk(key, 1);
-    this.seen.set(key, { version, text: JSON.stringify(this.kept(key, value)) });
+    if (this.fold(key, value, version)) return;
+    this.seen.set(key, { version, text: JSON.stringify(value) });
   }
 
   remove(key: string, version: Version): void {
-    const known = this.seen.get(key);
+    const known = this.get(key);
     if (known === undefined || known.version > version) return;
     this.seen.delete(key);
+    if (key.startsWith(JOB_PREFIX)) this.over.delete(key.slice(JOB_PREFIX.length));
     this.countChunk(key, -1);
     const job = jobOfChunk(key);
     if (job === null || this.chunks.has(job)) return;
     const record = this.seen.get(JOB_PREFIX + job);
-    if (record === undefined) return;
-    const folded = JSON.stringify(this.kept(JOB_PREFIX + job, JSON.parse(record.text)));
-    this.seen.set(JOB_PREFIX + job, { version: record.version, text: folded });
+    if (record !== undefined) this.fold(JOB_PREFIX + job, JSON.parse(record.text), record.version);
+  }
+
+  /** Folds a job that is over and has no task records left; false where it is kept as it is. */
+  private fold(key: string, value: unknown, version: Version): boolean {
+    if (!key.startsWith(JOB_PREFIX)) return false;
+    const id = key.slice(JOB_PREFIX.length);
+    const phase = phaseOfValue(value);
+    if (this.chunks.has(id) || (phase !== 'done' && phase !== 'cancelled')) {
+      this.over.delete(id);
+      return false;
+    }
+    try {
+      const { spec, graph } = decodeJob(value);
+      if (graph !== undefined || spec.id !== id) return false;
+      this.over.set(id, (version * TASKS_SPAN + spec.tasks) * 2 + (phase === 'done' ? 1 : 0));
+      this.seen.delete(key);
+      return true;
+    } catch {
+      return false;
+    }
   }
 
   private countChunk(key: string, by: number): void {
@@ -61,16 +93,6 @@
     else this.chunks.delete(job);
   }
 
-  /** A job that is over and has no task records left is folded; what cannot be read is kept as it is. */
-  private kept(key: string, value: unknown): unknown {
-    if (!key.startsWith(JOB_PREFIX) || this.chunks.has(key.slice(JOB_PREFIX.length))) return value;
-    try {
-      return foldJob(value);
-    } catch {
-      return value;
-    }
-  }
-
   /** A commit of this node's own that was confirmed: known at once, not only by the watch. */
   committed(changes: readonly Change[], revision: Revision): void {
     const version = revision as number as Version;
@@ -89,6 +111,7 @@
   /** Starts anew from a whole list. */
   replace(items: Iterable<Item>, revision: Revision): void {
     this.seen.clear();
+    this.over.clear();
     this.chunks.clear();
     const records = [...items];
     for (const i of records) if (i.key.startsWith(TASKS_PREFIX)) this.put(i.key, i.value, i.version);
@@ -96,14 +119,22 @@
     this.revision = revision;
   }
 
-  /** Bytes that the values take, without the map around them. */
+  /** Bytes that keys and values take, without the maps around them. */
   bytes(): number {
     let sum = 0;
     for (const [key, s] of this.seen) sum += key.length + s.text.length;
+    for (const id of this.over.keys()) sum += id.length + 8;
     return sum;
   }
 }
 
+function unpack(id: string, packed: number): Seen {
+  const phase = packed % 2 === 1 ? 'done' : 'cancelled';
+  const rest = Math.floor(packed / 2);
+  const version = Math.floor(rest / TASKS_SPAN) as Version;
+  return { version, text: JSON.stringify(foldedJob(id, rest % TASKS_SPAN, phase)) };
+}
+
 /**
  * Why what was read cannot be in a sound store, or null. `known` is what this node knew when it asked; `value`
  * undefined: the key is absent, which says something only where nothing is ever deleted.
@@ -125,14 +156,17 @@
 /** Phase of a job's record, or null where it cannot be read. */
 export function phaseOf(text: string): string | null {
   try {
-    const value: unknown = JSON.parse(text);
-    const phase = typeof value === 'object' && value !== null ? (value as { phase?: unknown }).phase : null;
-    return typeof phase === 'string' ? phase : null;
+    return phaseOfValue(JSON.parse(text));
   } catch {
     return null;
   }
 }
 
+function phaseOfValue(value: unknown): string | null {
+  const phase = typeof value === 'object' && value !== null ? (value as { phase?: unknown }).phase : null;
+  return typeof phase === 'string' ? phase : null;
+}
+
 /** Whether two values of a key say the same, in whatever order of fields; of a job that is over, one may be folded. */
 export function saysTheSame(key: string, a: string, b: string): boolean {
   if (a === b) return true;
--- a/packages/recovery/src/gathering.ts
+++ b/packages/recovery/src/gathering.ts
@@ -432,9 +432,13 @@
   return [...byEpoch].map(([epoch, of]) => ({ epoch, get: (key) => of.get(key), keys: () => of.keys() }));
 }
 
-/** Whether the last leader's own copy is among those that were merged: then no intent is missing. */
+/**
+ * Whether the last leader's own copy is among those that were merged, and nobody added records without knowing whether
+ * they are the last word: then no intent is missing.
+ */
 export function isContinuous(markers: ReadonlyMap<NodeId, Marker>): boolean {
-  const seen = Math.max(...[...markers.values()].map((m) => m.seen));
-  const last = [...markers.values()].find((m) => m.led === seen);
-  return last?.continuous === true;
+  const all = [...markers.values()];
+  const seen = Math.max(...all.map((m) => m.seen));
+  const last = all.find((m) => m.led === seen);
+  return last?.continuous === true && all.every((m) => m.continuous || m.pages === 0);
 }
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -59,9 +59,11 @@
 /** Snapshots that outlive all nodes, where the operators keep some. */
 export interface SnapshotShelf {
   /** The newest that is whole and of this deployment (null: not known yet), as a memory; null without one. */
-  latest(deployment: string | null): Promise<(Memory & { readonly revision: number }) | null>;
+  latest(deployment: string | null): Promise<SnapshotMemory | null>;
 }
 
+export type SnapshotMemory = Memory & { readonly revision: number; readonly deployment: string };
+
 export interface GuardParts {
   readonly raw: StateStore;
   readonly clock: Clock;
@@ -101,7 +103,7 @@
   private readonly startedAt: Ms;
   private readonly gathering: Gathering;
   private readonly auditor: Auditor;
-  private snapshot: (Memory & { readonly revision: number }) | null = null;
+  private snapshot: SnapshotMemory | null = null;
 
   constructor(private readonly p: GuardParts) {
     this.startedAt = p.clock.now();
@@ -275,10 +277,10 @@
   }
 
   private async attach(): Promise<void> {
-    this.snapshot ??= (await this.p.shelf?.latest(this.deployment)) ?? null;
     const found = await this.gathering.find();
     if (found === null) return this.p.clock.sleep(RETRY_MS);
     const { epoch } = found;
+    await this.takeSnapshot(epoch?.deployment ?? null);
     if (epoch === null) return this.attachToNothing();
     if (epoch.phase !== 'open' || epoch.number < this.heard().ahead)
       return this.doubt(`epoch ${epoch.number} is ${epoch.phase}, of others ${this.heard().ahead}`);
@@ -290,6 +292,14 @@
     this.enter(opened);
   }
 
+  private async takeSnapshot(deployment: string | null): Promise<void> {
+    if (this.p.shelf === undefined || this.snapshot !== null) return;
+    this.snapshot = await this.p.shelf.latest(deployment);
+    if (this.snapshot === null) return;
+    this.deployment = this.snapshot.deployment;
+    this.highest = Math.max(this.highest, this.snapshot.epoch);
+  }
+
   /** No epoch's record: a first start, or a store that was emptied. */
   private async attachToNothing(): Promise<void> {
     const now = this.p.clock.now();
--- a/packages/recovery/src/index.ts
+++ b/packages/recovery/src/index.ts
@@ -1,7 +1,9 @@
 export { GuardedStore } from './guard.js';
 export type { GuardParts, SnapshotShelf } from './guard.js';
 export { Copy } from './copy.js';
+export type { Seen } from './copy.js';
 export { merge } from './merge.js';
+export { Gathering, isTombstone } from './gathering.js';
 export type { Memory } from './merge.js';
 export type { SoundnessState } from './soundness.js';
 export * from './epoch.js';
--- /dev/null
+++ b/packages/snapshot/src/restore.ts
@@ -0,0 +1,123 @@
+import type { WallMs } from '@spurbridge/model';
+import type { Clock } from '@spurbridge/net';
+import type { EpochNumber, Memory } from '@spurbridge/recovery';
+import { Copy, Gathering, decodeEpoch, isControlKey, isTombstone, merge } from '@spurbridge/recovery';
+import type { StateStore } from '@spurbridge/store';
+import type { NodeId, Revision, Token } from '@spurbridge/wire';
+import type { Snapshot } from './format.js';
+import { encodeSnapshot } from './format.js';
+
+/** Watching on after a list of many pages ends once nothing more is shown for this long. */
+const SETTLE_MS = 200;
+const ROUNDS = 20;
+
+export interface StateTools {
+  readonly raw: StateStore;
+  readonly clock: Clock;
+  readonly wallNow: () => WallMs;
+  readonly valueKb: number;
+  /** Number of controllers, which take part when the fence moves. */
+  readonly nodes: number;
+  readonly log: { info(fields: object, message: string): void };
+}
+
+export class StateToolError extends Error {}
+
+interface StoreNow {
+  readonly copy: Copy;
+  readonly epoch: number;
+  readonly deployment: string | null;
+  readonly floor: number;
+}
+
+/** Reads a whole state service that is being written to, consistently as of one revision. */
+async function readNow(t: StateTools): Promise<StoreNow> {
+  const listed = await t.raw.list('', 1);
+  if (listed.outcome !== 'listed') throw new StateToolError('the state service does not answer');
+  const copy = new Copy();
+  copy.replace(
+    listed.items.filter((i) => !isTombstone(i.value)),
+    listed.revision,
+  );
+  // Pages were read one after the other: what changed meanwhile makes them one state.
+  for (let n = 0; copy.revision < listed.latest && n < ROUNDS; n += 1) {
+    const seen = await t.raw.watch('', copy.revision, SETTLE_MS);
+    if (seen.outcome === 'events') copy.watched(seen.events, seen.revision);
+    else await t.clock.sleep(SETTLE_MS);
+  }
+  if (copy.revision < listed.latest) throw new StateToolError('the state service does not answer its watch');
+  const epoch = decodeEpoch(listed.items.find((i) => i.key === 'epoch')?.value);
+  return {
+    copy,
+    epoch: epoch?.number ?? 0,
+    deployment: epoch?.deployment ?? null,
+    floor: epoch?.floor ?? 0,
+  };
+}
+
+/** Takes a snapshot of the state service as it is now. */
+export async function takeSnapshot(
+  t: StateTools,
+): Promise<{ readonly bytes: Buffer; readonly epoch: number; readonly revision: Revision }> {
+  const { copy, epoch, deployment } = await readNow(t);
+  if (deployment === null)
+    throw new StateToolError('the state service has no epoch: no controller has run on it');
+  const head = { deployment, epoch, revision: copy.revision, takenAt: t.wallNow() };
+  return { bytes: encodeSnapshot(head, copy.entries()), epoch, revision: copy.revision };
+}
+
+/** What putting a snapshot back would change. */
+export interface Difference {
+  readonly missing: readonly string[];
+  readonly changed: readonly string[];
+  /** Records of the state service that the snapshot does not have, or older: they stay. */
+  readonly kept: number;
+}
+
+async function differences(t: StateTools, s: Snapshot): Promise<{ now: StoreNow; difference: Difference }> {
+  const now = await readNow(t);
+  if (now.deployment !== null && now.deployment !== s.deployment)
+    throw new StateToolError(
+      `the snapshot is of deployment ${s.deployment}, the state service of ${now.deployment}: refused`,
+    );
+  const store: Memory = { epoch: now.epoch, get: (k) => now.copy.get(k), keys: () => now.copy.keys() };
+  const due = merge(store, [s]).filter((r) => !isControlKey(r.key));
+  const missing = due.filter((r) => r.over === 0).map((r) => r.key);
+  const changed = due.filter((r) => r.over !== 0).map((r) => r.key);
+  return { now, difference: { missing, changed, kept: now.copy.size - changed.length } };
+}
+
+/** What `restore` would do; nothing is written. */
+export async function dryRun(t: StateTools, s: Snapshot): Promise<Difference> {
+  return (await differences(t, s)).difference;
+}
+
+/**
+ * Puts a snapshot back by moving the fence, as after a loss: controllers that run take part with what they remember, and
+ * whatever is newer than the snapshot stays. It opens as an epoch in which machines are asked first.
+ */
+export async function restore(t: StateTools, s: Snapshot, patienceMs: number): Promise<Difference> {
+  const { now, difference } = await differences(t, s);
+  const gathering = new Gathering({
+    ...t,
+    node: 'restore' as NodeId,
+    // It gives no orders itself: with all controllers it is one more.
+    nodes: t.nodes + 1,
+    brings: () => ({
+      copyOf: now.epoch as EpochNumber,
+      highest: now.epoch,
+      deployment: now.deployment ?? s.deployment,
+      floor: now.floor,
+      led: 0 as Token,
+      seen: 0 as Token,
+      continuous: false,
+      lease: 0,
+      memories: [s],
+    }),
+    heard: () => ({ peers: [], ahead: 0 }),
+    met: () => undefined,
+  });
+  const until = t.clock.now() + patienceMs;
+  while (t.clock.now() < until) if ((await gathering.attempt()) !== null) return difference;
+  throw new StateToolError('no epoch opened in time: look at the controllers, then try again');
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -7,3 +7,4 @@
 export * from './fixtures.js';
 export * from './feed.js';
 export * from './drawn.js';
+export * from './losses.js';
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -19,6 +19,8 @@
   WorkerCommand,
   WorkerReport,
 } from '@spurbridge/wire';
+import type { Folder } from '@spurbridge/snapshot';
+import { Shelf, keepSnapshots } from '@spurbridge/snapshot';
 import { formatSubmission } from '@spurbridge/wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
@@ -33,6 +35,7 @@
 export const CLOUD_HOST = 'cloud';
 const USER_HOST = 'user';
 const RESTART_MS = 8000;
+const KEPT_SNAPSHOTS = 9;
 const LIST_LAG_MS = 4000;
 const GANG_WAIT_S = 20;
 const GANG_PEER_S = 4;
@@ -52,6 +55,8 @@
   readonly stateLimits?: StateLimits;
   /** What a node's program adds to its leader. */
   readonly rooms?: (host: string, network: SimNetwork) => readonly RoomFactory[];
+  /** A folder that outlives the nodes, in which they keep snapshots this often. */
+  readonly snapshots?: { readonly folder: Folder; readonly everyMs: number };
   /** Time of day when the simulation begins, in milliseconds since 1970. */
   readonly wallStart?: number;
   /** Users ask after their accepted jobs this often, at least; by default every 1.5 s. */
@@ -141,7 +146,15 @@
     const log = this.o.log ?? silent;
     const wallNow = (): WallMs => (this.wallStart + this.time.now + this.random(20)) as WallMs;
     const settings = this.settings(name, zone);
+    const { snapshots } = this.o;
+    const shelf =
+      snapshots === undefined
+        ? undefined
+        : new Shelf(snapshots.folder, (file, reason) => {
+            log.info({ file, reason }, 'snapshot refused');
+          });
     const guard = new GuardedStore({
+      ...(shelf === undefined ? {} : { shelf }),
       raw: store,
       clock,
       wallNow,
@@ -167,6 +180,10 @@
       link: (status, receive) => this.peersOf(name, clock, status, receive),
     });
     void controller.run();
+    if (shelf !== undefined && snapshots !== undefined) {
+      const most = KEPT_SNAPSHOTS;
+      void keepSnapshots({ guard, shelf, node: name, everyMs: snapshots.everyMs, most, clock, wallNow, log });
+    }
     return { name, zone, clock, store, guard, controller };
   }
 
