--- /dev/null
+++ b/packages/snapshot/test/snapshot.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Revision, Version } from '@spurbridge/wire';
+import {
+  BadSnapshotError,
+  Directory,
+  Shelf,
+  decodeSnapshot,
+  encodeSnapshot,
+  snapshotName,
+} from '../src/index.js';
+
+const head = (revision: number, deployment = 'ours') => ({
+  deployment,
+  epoch: 2,
+  revision: revision as Revision,
+  takenAt: 1_700_000_000_000,
+});
+const entries = [['j/wk-1', { version: 4 as Version, text: '{"phase":"active"}' }]] as const;
+
+test('a snapshot is read as it was taken, and no damaged byte goes unnoticed', () => {
+  fc.assert(
+    fc.property(
+      fc.dictionary(fc.string({ minLength: 1 }), fc.record({ version: fc.nat(), text: fc.json() })),
+      fc.nat(),
+      fc.integer({ min: 1, max: 255 }),
+      (records, where, by) => {
+        const all = Object.entries(records).map(
+          ([key, r]) => [key, { version: r.version as Version, text: r.text }] as const,
+        );
+        const bytes = encodeSnapshot(head(9), all);
+        const found = decodeSnapshot(bytes);
+        assert.deepEqual(new Map([...found.keys()].map((k) => [k, found.get(k)])), new Map(all));
+        const damaged = Buffer.from(bytes);
+        const at = bytes.indexOf('\n') + 1 + (where % (bytes.length - bytes.indexOf('\n') - 1));
+        damaged[at] = (damaged[at] ?? 0) ^ by;
+        assert.throws(() => decodeSnapshot(damaged), BadSnapshotError);
+        assert.throws(() => decodeSnapshot(bytes.subarray(0, bytes.length - 1)), BadSnapshotError);
+      },
+    ),
+  );
+});
+
+test('another format, a later version or a missing field is refused by its name', () => {
+  const text = (over: Record<string, unknown>): Buffer => {
+    const bytes = encodeSnapshot(head(9), entries);
+    const end = bytes.indexOf('\n');
+    const header = { ...(JSON.parse(bytes.subarray(0, end).toString()) as object), ...over };
+    return Buffer.concat([Buffer.from(JSON.stringify(header)), bytes.subarray(end)]);
+  };
+  assert.throws(() => decodeSnapshot(Buffer.from('hello')), /no snapshot/);
+  assert.throws(() => decodeSnapshot(text({ format: 'other' })), /format/);
+  assert.throws(() => decodeSnapshot(text({ version: 2 })), /version/);
+  assert.throws(() => decodeSnapshot(text({ deployment: null })), /deployment/);
+  assert.throws(() => decodeSnapshot(text({ records: 7 })), /records: expected 7/);
+});
+
+test('of a directory the newest good one of this deployment is taken; old ones go', async () => {
+  const path = await mkdtemp(join(tmpdir(), 'snapshots-'));
+  try {
+    const refused: string[] = [];
+    const shelf = new Shelf(new Directory(path), (name, reason) => refused.push(`${name}: ${reason}`));
+    assert.equal(await shelf.latest(null), null);
+    for (const revision of [5, 40, 300])
+      await shelf.keep(snapshotName(head(revision), 'spur-0'), encodeSnapshot(head(revision), entries), 9);
+    await shelf.keep(snapshotName(head(4000), 'x'), encodeSnapshot(head(4000, 'theirs'), entries), 9);
+    await writeFile(join(path, snapshotName(head(5000), 'y')), 'cut short');
+    assert.equal((await shelf.latest('ours'))?.revision, 300);
+    assert.match(refused.join('\n'), /no header[^]*deployment theirs, not ours/);
+    assert.equal((await shelf.verdicts(true)).filter((v) => 'wrong' in v).length, 1);
+    await shelf.keep(snapshotName(head(6000), 'z'), encodeSnapshot(head(6000), entries), 2);
+    assert.equal((await shelf.verdicts(false)).length, 2);
+    assert.equal((await shelf.latest('ours'))?.revision, 6000);
+  } finally {
+    await rm(path, { recursive: true });
+  }
+});
