--- a/packages/recovery/src/gathering.ts
+++ b/packages/recovery/src/gathering.ts
@@ -70,6 +70,8 @@
   readonly heard: () => { readonly peers: readonly NodeId[]; readonly ahead: number };
   /** An epoch of this number was met. */
   readonly met: (number: number) => void;
+  /** This node takes part in one of this number. */
+  readonly joins: (number: number) => void;
 }
 
 /** An open epoch as a node finds it. */
@@ -108,6 +110,11 @@
 
   constructor(private readonly p: GatheringParts) {}
 
+  /** Whether this process began the epoch itself. */
+  hasBegun(epoch: Epoch): boolean {
+    return this.mine.has(epoch.id);
+  }
+
   /** One try: an epoch that is open now and later than the copy's, or null to begin again. */
   async attempt(): Promise<Opened | null> {
     const found = await this.find();
@@ -122,6 +129,7 @@
       await this.moveFence(found, b, false);
       return this.pause(20);
     }
+    this.p.joins(epoch.number);
     return epoch.phase === 'open' ? this.enterLate(epoch) : this.gather(epoch, found.version);
   }
 
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -47,6 +47,8 @@
 const RETRY_MS = 150;
 /** A peer not heard for this long is no longer counted on. */
 const PEER_MS = 4000;
+/** A peer in a later epoch that it does not trust yet is waited for no longer than this. */
+const GATHERS_MS = 10_000;
 /** A first start is believed after this: all peers were heard without a copy, or twice waited for. */
 const FIRST_MS = 700;
 const FIRST_ALONE_MS = 2000;
@@ -92,6 +94,8 @@
   /** Highest revision known to have been in this epoch. */
   private claimed = 0;
   private highest = 0;
+  /** Number of the epoch that it helps to gather, or follows. */
+  private joined = 0;
   private isContinuous = false;
   private deployment: string | null = null;
   private attachedAt: Ms;
@@ -99,7 +103,7 @@
   private ledToken = 0 as Token;
   private lease = 0;
   private doubtedAt: Ms | null = null;
-  private readonly peers = new Map<NodeId, { at: Ms; status: PeerStatus }>();
+  private readonly peers = new Map<NodeId, { at: Ms; since: Ms; status: PeerStatus }>();
   private readonly startedAt: Ms;
   private readonly gathering: Gathering;
   private readonly auditor: Auditor;
@@ -119,6 +123,11 @@
       met: (number) => {
         this.highest = Math.max(this.highest, number);
       },
+      joins: (number) => {
+        if (number === this.joined) return;
+        this.joined = number;
+        p.changed();
+      },
     });
     this.auditor = new Auditor(p.limits.txnOps * 4 - 2);
   }
@@ -169,21 +178,34 @@
   // --- what others say -----------------------------------------------------------------------------
 
   /** What peers are told of this node's trust. */
-  status(): Pick<PeerStatus, 'epoch' | 'revision' | 'trusted' | 'continuous'> {
+  status(): Pick<PeerStatus, 'epoch' | 'epochId' | 'revision' | 'trusted' | 'continuous'> {
     const { trusted, continuous } = this;
-    return { epoch: this.copyOf, revision: trusted ? this.claimed : 0, trusted, continuous };
+    return {
+      epoch: Math.max(this.copyOf, this.joined),
+      epochId: trusted ? (this.epoch?.id ?? '') : '',
+      revision: trusted ? this.claimed : 0,
+      trusted,
+      continuous,
+    };
   }
 
   peerSaid(status: PeerStatus): void {
-    this.peers.set(status.node, { at: this.p.clock.now(), status });
+    const at = this.p.clock.now();
+    const before = this.peers.get(status.node);
+    const since = before !== undefined && before.status.epoch === status.epoch ? before.since : at;
+    this.peers.set(status.node, { at, since, status });
     this.highest = Math.max(this.highest, status.epoch);
     if (this.soundness.state === 'unattached' || !this.trusted) return;
     if (status.epoch > this.copyOf) this.doubt(`${status.node} is in epoch ${status.epoch}`);
     else if (status.epoch < this.copyOf) return;
     else if (!status.trusted) this.doubt(`${status.node} doubts it`);
-    else {
+    else if (status.epochId !== this.epoch?.id) {
+      // Two stores behind one address. One side moves on, so that the other hears of a later epoch and refuses.
+      if (status.epochId > (this.epoch?.id ?? ''))
+        this.doubt(`${status.node} follows another epoch ${status.epoch}`);
+    } else {
       this.claimed = Math.max(this.claimed, status.revision);
-      if (status.continuous) this.isContinuous = true;
+      if (status.continuous && this.trusted) this.isContinuous = true;
     }
   }
 
@@ -219,7 +241,13 @@
     const alive = [...this.peers].filter(([, s]) => now - s.at < PEER_MS);
     return {
       peers: alive.map(([node]) => node),
-      ahead: Math.max(0, ...alive.map(([, s]) => s.status.epoch)),
+      // A peer that gathers and does not come to an end is not waited for for ever.
+      ahead: Math.max(
+        0,
+        ...alive
+          .filter(([, s]) => s.status.trusted || now - s.since < GATHERS_MS)
+          .map(([, s]) => s.status.epoch),
+      ),
     };
   }
 
@@ -325,12 +353,20 @@
     }));
     this.copy.replace([...o.items, ...atFence], revision);
     this.copyOf = epoch.number;
+    this.joined = epoch.number;
     this.overlay = new Overlay(o.pending, fence.version);
     this.leftovers = [...o.leftovers];
     this.deployment = epoch.deployment;
-    // A node that comes later knows of the epoch's opening only what its peers say; nothing was before the first.
-    const nothing = epoch.first && ![...this.copy.keys()].some((k) => k.startsWith(JOB_PREFIX));
-    this.isContinuous = o.gathered ? epoch.continuous : nothing;
+    // A node that comes later knows of the epoch's opening only what its peers say.
+    const attested = [...this.peers.values()].some(
+      ({ at, status }) =>
+        this.p.clock.now() - at < PEER_MS &&
+        status.epochId === epoch.id &&
+        status.trusted &&
+        status.continuous,
+    );
+    const begun = epoch.first && this.gathering.hasBegun(epoch);
+    this.isContinuous = attested || begun || (o.gathered && epoch.continuous);
     this.epoch = epoch;
     this.fence = fence;
     this.claimed = revision;
--- a/packages/snapshot/src/format.ts
+++ b/packages/snapshot/src/format.ts
@@ -45,6 +45,7 @@
     format: FORMAT,
     version: FORMAT_VERSION,
     ...h,
+    takenAt: Math.round(h.takenAt),
     records: records.length,
     plainBytes: Buffer.byteLength(plain),
     digest: digestOf(body),
--- a/packages/snapshot/src/restore.ts
+++ b/packages/snapshot/src/restore.ts
@@ -116,6 +116,7 @@
     }),
     heard: () => ({ peers: [], ahead: 0 }),
     met: () => undefined,
+    joins: () => undefined,
   });
   const until = t.clock.now() + patienceMs;
   while (t.clock.now() < until) if ((await gathering.attempt()) !== null) return difference;
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -90,6 +90,9 @@
   readonly nodes: SimNode[] = [];
   private readonly generator;
   private readonly requests = new Map<string, readonly MachineId[]>();
+  private readonly requesters = new Map<string, string>();
+  /** Names of rental requests that one process took after another had used them. */
+  readonly reusedNames: string[] = [];
   private readonly listing: { at: number; id: MachineId; machine: Omit<ListedMachine, 'ageS' | 'phase'> }[] =
     [];
   private readonly goneAt = new Map<MachineId, number>();
@@ -237,10 +240,11 @@
   // --- cloud -----------------------------------------------------------------------------------
 
   private cloudFor(host: string): Cloud {
+    const by = `${host}-${this.incarnations}`;
     return {
       types: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.o.types),
       rent: async (q: RentalRequest): Promise<RentOutcome> =>
-        (await this.network.call<RentOutcome>(host, CLOUD_HOST, 4000, () => this.rent(q))) ?? {
+        (await this.network.call<RentOutcome>(host, CLOUD_HOST, 4000, () => this.rent(q, by))) ?? {
           outcome: 'unknown',
         },
       release: async (ids: readonly MachineId[]) =>
@@ -249,9 +253,12 @@
     };
   }
 
-  private rent(q: RentalRequest): RentOutcome {
+  private rent(q: RentalRequest, host: string): RentOutcome {
     const before = this.requests.get(q.request);
-    if (before !== undefined) return { outcome: 'rented', machines: before };
+    if (before !== undefined) {
+      if (this.requesters.get(q.request) !== host) this.reusedNames.push(q.request);
+      return { outcome: 'rented', machines: before };
+    }
     const type = this.o.types.find((t) => t.name === q.type);
     if (type === undefined) return { outcome: 'no_capacity' };
     const held = this.listing.filter(
@@ -278,6 +285,7 @@
       });
     }
     this.requests.set(q.request, machines);
+    this.requesters.set(q.request, host);
     return { outcome: 'rented', machines };
   }
 
--- /dev/null
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -0,0 +1,319 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { encodeSnapshot, snapshotName } from '@spurbridge/snapshot';
+import type { JobId, JobSpec, Revision, Version } from '@spurbridge/wire';
+import type { Checkpoint, World } from '../src/index.js';
+import {
+  MemoryFolder,
+  STATE_HOST,
+  cutZone,
+  fork,
+  jobSpec,
+  leaderIndex,
+  machinesIn,
+  smallWorld,
+  watchLeaders,
+} from '../src/index.js';
+
+const id = (n: number): JobId => `wk-${String(n).padStart(6, '0')}` as JobId;
+const service = (n: number, over: Partial<JobSpec> = {}): JobSpec =>
+  jobSpec({ id: id(n), kind: 'service', estimateS: 0, tasks: 4, cpus: 2, spot: false, ...over });
+
+function watched(seed: number, over: Parameters<typeof smallWorld>[1] = {}): World {
+  const w = smallWorld(seed, over);
+  watchLeaders(w, (at) => {
+    assert.fail(`two leaders at ${at}`);
+  });
+  return w;
+}
+
+function allTrusted(w: World): boolean {
+  return w.nodes.every((n) => n.guard.trusted);
+}
+
+function placedOn(w: World, job: JobId): string[] {
+  return [...w.workers.values()]
+    .filter(
+      (x) =>
+        x.alive &&
+        [0, 1, 2, 3].some((t) => ['running', 'fetching'].includes(x.attemptOf(job, t)?.phase ?? '')),
+    )
+    .map((x) => x.id);
+}
+
+test('replicas run on through a loss: none is stopped, started again or killed by its lease', async () => {
+  const w = watched(1);
+  let ended = 0;
+  w.checker.onRun = () => {
+    ended += 1;
+  };
+  for (const n of [1, 2, 3]) w.user(service(n), null);
+  await w.run(40_000);
+  const before = w.checker.starts;
+  w.state.empty();
+  await w.run(42_500);
+  assert.ok(allTrusted(w), 'sound again within 2.5 s where all nodes take part');
+  await w.run(100_000);
+  assert.deepEqual([w.checker.starts - before, ended, w.checker.broken], [0, 0, []]);
+});
+
+test('two leaders, one on either side of a restored store: one side works, the other refuses', async () => {
+  const w = watched(2);
+  let point: Checkpoint | null = null;
+  w.time.after(20_000, () => {
+    point = w.state.checkpoint();
+  });
+  for (const n of [1, 2, 3, 4, 5, 6])
+    w.time.after(n * 6000, () => {
+      w.user(jobSpec({ id: id(n), tasks: 6, estimateS: 12 }), null);
+    });
+  await w.run(45_000);
+  assert.ok(point !== null);
+  const leader = leaderIndex(w);
+  fork(w, (leader + 1) % 3, point);
+  await w.run(75_000);
+  assert.ok(w.nodes.some((n) => n.guard.trusted) && !allTrusted(w), 'not both sides may work');
+  // The operators put all nodes in front of one store again: the one that was written to last.
+  const working = w.nodes.find((n) => n.guard.trusted);
+  assert.ok(working !== undefined);
+  for (const n of w.nodes) n.store.state = working.store.state;
+  await w.run(180_000);
+  assert.ok(allTrusted(w));
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('a commit from before the loss, delivered a minute after it, changes nothing', async () => {
+  const w = watched(3);
+  w.user(service(1), null);
+  for (const n of [2, 3, 4])
+    w.time.after(n * 9000, () => {
+      w.user(jobSpec({ id: id(n), tasks: 8, estimateS: 10 }), n === 3 ? 60_000 : null);
+    });
+  await w.run(29_000);
+  const node = w.nodes[leaderIndex(w)];
+  assert.ok(node !== undefined);
+  w.network.cut(node.name, STATE_HOST, 'hold');
+  // What the leader and its users' calls send now stays on the way.
+  w.time.after(2500, () => {
+    w.state.empty();
+  });
+  await w.run(91_500);
+  const keys = w.state.keys().filter((k) => k.startsWith('t/'));
+  const before = JSON.stringify(keys.map((k) => w.state.peek(k)));
+  w.network.heal(node.name, STATE_HOST);
+  await w.run(91_520);
+  const after = JSON.stringify(keys.map((k) => w.state.peek(k)));
+  assert.equal(after, before);
+  await w.run(200_000);
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('a cancellation whose record is lost, its tasks in a zone that is cut off, holds all the same', async () => {
+  const w = watched(4);
+  const spec = service(1, { zone: 'b', tasks: 2 });
+  w.user(spec, 30_000);
+  w.user(service(2), null);
+  let point: Checkpoint | null = null;
+  w.time.after(28_000, () => {
+    point = w.state.checkpoint();
+  });
+  await w.run(20_000);
+  assert.ok(machinesIn(w, 'b').length > 0 && placedOn(w, spec.id).length > 0);
+  cutZone(w, 'b', 26_000, 110_000);
+  await w.run(36_000);
+  assert.equal(w.phaseOf(spec.id), 'cancelled');
+  assert.ok(point !== null);
+  w.state.restore(point);
+  assert.notEqual(w.phaseOf(spec.id), 'cancelled');
+  await w.run(200_000);
+  assert.equal(w.phaseOf(spec.id), 'cancelled');
+  assert.deepEqual(w.checker.broken, []);
+});
+
+for (const [what, harm] of [
+  ['gone', (w: World, key: string) => w.state.lose((k) => k === key)],
+  ['unreadable', (w: World, key: string) => w.state.garble((k) => k === key)],
+] as const)
+  test(`a job told done whose record is ${what} is still done, and its record is put back`, async () => {
+    const w = watched(5);
+    const spec = jobSpec({ id: id(1), tasks: 3, estimateS: 4 });
+    w.user(spec, null);
+    w.user(service(2), null);
+    await w.run(45_000);
+    assert.equal(w.phaseOf(spec.id), 'done');
+    assert.equal(harm(w, `j/${spec.id}`), 1);
+    // Whoever asks first, of whichever node, gets no older answer; then the record is back.
+    for (let t = 45_100; t < 60_000; t += 700) {
+      for (const n of w.nodes) {
+        const answer = await answered(w, n.controller.jobs.status(spec.id));
+        w.checker.told(spec.id, 'poll', answer.code, 'status' in answer ? answer.status.phase : null);
+      }
+      await w.run(t);
+    }
+    assert.equal(w.phaseOf(spec.id), 'done');
+    assert.deepEqual(w.checker.broken, []);
+  });
+
+async function answered<T>(w: World, call: Promise<T>): Promise<T> {
+  let found: T | null = null;
+  void call.then((a) => {
+    found = a;
+  });
+  for (let n = 0; n < 400 && found === null; n += 1) await w.run(w.time.now + 10);
+  assert.ok(found !== null, 'no answer');
+  return found;
+}
+
+test('a gang between two attempts goes on as a whole after the loss', async () => {
+  const w = watched(6);
+  const spec = jobSpec({
+    id: id(1),
+    kind: 'gang',
+    tasks: 3,
+    cpus: 4,
+    estimateS: 14,
+    spot: false,
+    checkpointS: 4,
+  });
+  w.user(spec, null);
+  while (placedOn(w, spec.id).length < 3 && w.time.now < 60_000) await w.run(w.time.now + 200);
+  const on = placedOn(w, spec.id);
+  assert.equal(on.length, 3);
+  w.workers.get(on[0] as never)?.die();
+  // Its mates exit with `peers`, the first attempt is over, the second not yet placed.
+  while (placedOn(w, spec.id).length > 0) await w.run(w.time.now + 100);
+  w.state.empty();
+  w.crash(leaderIndex(w));
+  await w.run(200_000);
+  assert.ok((w.attempts.get(spec.id) ?? 0) > 1);
+  assert.equal(w.phaseOf(spec.id), 'done');
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('a spot machine half drained, and a rental answered just before: neither is forgotten', async () => {
+  const w = watched(7);
+  const spec = jobSpec({ id: id(1), tasks: 12, estimateS: 25, checkpointS: 5, saveS: 2 });
+  w.user(spec, null);
+  await w.run(30_000);
+  const taken = [...w.workers.values()].find((x) => x.alive && x.spot && placedOn(w, spec.id).includes(x.id));
+  assert.ok(taken !== undefined);
+  taken.noticeEnds = w.time.now + 10_000;
+  w.time.after(10_000, () => {
+    w.takeBack(taken.id);
+  });
+  // More work than room: machines are rented in the same second in which the store is emptied.
+  w.user(jobSpec({ id: id(2), tasks: 14, team: 'blue', estimateS: 20, spot: false }), null);
+  await w.run(33_000);
+  w.state.empty();
+  w.crash(leaderIndex(w));
+  await w.run(200_000);
+  assert.deepEqual([w.phaseOf(spec.id), w.phaseOf(id(2))], ['done', 'done']);
+  assert.deepEqual(w.reusedNames, []);
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('the owners’ machines are kept although the record of which they are is lost', async () => {
+  const w = watched(8);
+  w.user(service(1), null);
+  await w.run(30_000);
+  const standing = w.state.peek('fleet');
+  assert.ok(standing !== undefined);
+  w.state.lose((k) => k === 'fleet');
+  await w.run(110_000);
+  assert.deepEqual(w.state.peek('fleet'), standing);
+});
+
+test('a zone whose workers only its own node reaches, during a loss: nothing runs twice', async () => {
+  const w = watched(9);
+  for (const n of [1, 2, 3]) w.user(service(n, { spread: true }), null);
+  await w.run(35_000);
+  const inside = machinesIn(w, 'b');
+  assert.ok(inside.length > 0);
+  const node = w.nodes.find((n) => n.zone === 'b');
+  for (const other of w.nodes)
+    if (other !== node) for (const m of inside) w.network.cut(other.name, m, 'hold');
+  await w.run(36_000);
+  w.state.empty();
+  await w.run(95_000);
+  for (const other of w.nodes) if (other !== node) for (const m of inside) w.network.heal(other.name, m);
+  await w.run(180_000);
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('another deployment’s snapshot and a damaged one are refused, an older good one is taken', async () => {
+  const folder = new MemoryFolder();
+  const refused: unknown[] = [];
+  const log = {
+    debug: () => undefined,
+    info: (fields: object, message: string) => {
+      if (message === 'snapshot refused') refused.push(fields);
+    },
+    error: () => undefined,
+  };
+  const w = watched(10, { snapshots: { folder, everyMs: 10_000 }, log });
+  const spec = service(1);
+  w.user(spec, null);
+  await w.run(45_000);
+  const theirs = { deployment: 'theirs', epoch: 9, revision: 9000 as Revision, takenAt: 1 };
+  const foreign = [[`j/${id(9)}`, { version: 3 as Version, text: '{"phase":"active"}' }]] as const;
+  await folder.write(snapshotName(theirs, 'x'), encodeSnapshot(theirs, foreign));
+  await folder.write(snapshotName({ epoch: 1, revision: 99_999 as Revision }, 'y'), Buffer.from('{"cut'));
+  // The epoch's record stays, so that whose store it is is known; everything else is lost, and every node.
+  w.state.lose((k) => k.startsWith('j/') || k.startsWith('t/'));
+  w.state.setBack(2);
+  for (let i = 0; i < 3; i += 1) w.crash(i);
+  await w.run(150_000);
+  assert.equal((await folder.names()).length > 2, true);
+  assert.match(JSON.stringify(refused), /theirs/);
+  assert.match(JSON.stringify(refused), /no header/);
+  assert.equal(w.phaseOf(spec.id), 'active');
+  assert.equal(w.state.peek(`j/${id(9)}`), undefined);
+  assert.deepEqual(w.checker.broken, []);
+});
+
+test('emptied, all nodes dead, nothing but workers left: unknown tasks are stopped, ids can come again', async () => {
+  const w = watched(11);
+  for (const n of [1, 2, 3]) w.user(service(n), null);
+  await w.run(40_000);
+  w.state.empty();
+  for (let i = 0; i < 3; i += 1) w.crash(i);
+  await w.run(130_000);
+  // No copy is left anywhere: the jobs are lost. What must still hold does.
+  assert.equal([1, 2, 3].flatMap((n) => placedOn(w, id(n))).length, 0);
+  assert.deepEqual(new Set(w.checker.broken.map((b) => b.rule)), new Set(['forgotten']));
+  assert.deepEqual(w.reusedNames, []);
+  w.user(service(4), null);
+  await w.run(170_000);
+  assert.ok(placedOn(w, id(4)).length > 0);
+});
+
+test('a first start waits for nobody longer than it must, and a node alone begins after two seconds', async () => {
+  const w = watched(12);
+  await w.run(1100);
+  assert.ok(allTrusted(w));
+  const lonely = watched(13);
+  for (const a of [0, 1, 2])
+    for (const b of [0, 1, 2]) if (a < b) lonely.network.cut(`spur-${a}`, `spur-${b}`, 'drop');
+  await lonely.run(1500);
+  assert.ok(!lonely.nodes.some((n) => n.guard.trusted));
+  await lonely.run(2600);
+  assert.ok(allTrusted(lonely));
+});
+
+test('an id that nobody submitted is never answered for, before, during and after a loss', async () => {
+  const w = watched(14);
+  w.user(service(1), null);
+  const ask = (): void => {
+    for (const n of w.nodes)
+      void n.controller.jobs.status(id(77)).then((a) => {
+        w.checker.told(id(77), 'poll', a.code, null);
+        assert.ok(a.code === 404 || a.code === 503, String(a.code));
+      });
+    w.time.after(300, ask);
+  };
+  ask();
+  await w.run(30_000);
+  w.state.empty();
+  await w.run(60_000);
+  assert.deepEqual(w.checker.broken, []);
+});
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -9,8 +9,10 @@
   readonly leader: NodeId;
   /** Whether the sender has lately been served by the state service. */
   readonly stateOk: boolean;
-  /** Number of the state service's epoch that the sender has followed last; 0 when it has no copy. */
+  /** Number of the state service's epoch that the sender follows, or helps to gather; 0 when it has no copy. */
   readonly epoch: number;
+  /** Id of the epoch that it follows ('' when none): two of one number are two stores. */
+  readonly epochId: string;
   /** Highest revision that it knows of in that epoch. */
   readonly revision: number;
   /** Whether it trusts the state service now. */
@@ -39,7 +41,8 @@
   .add(new Field('epoch', 5, 'uint32'))
   .add(new Field('revision', 6, 'double'))
   .add(new Field('trusted', 7, 'bool'))
-  .add(new Field('continuous', 8, 'bool'));
+  .add(new Field('continuous', 8, 'bool'))
+  .add(new Field('epochId', 9, 'string'));
 const Progress = new Type('Progress')
   .add(new Field('job', 1, 'string'))
   .add(new Field('done', 2, 'uint32'))
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -122,6 +122,7 @@
       leader: label as fc.Arbitrary<NodeId>,
       stateOk: fc.boolean(),
       epoch: fc.nat(),
+      epochId: fc.string(),
       revision: fc.nat(),
       trusted: fc.boolean(),
       continuous: fc.boolean(),
