--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -119,9 +119,13 @@
 
   /** All of the job's records are read. */
   afterRestore(job: Job): void {
-    for (const p of job.placements.values()) {
+    for (const p of [...job.placements.values()]) {
       this.hold(job, p);
-      if (job.state === 'cancelled') job.askStop(p.task, 0, 'cancelled', this.now());
+      const session = this.machines.get(p.machine)?.session ?? null;
+      // A machine that reported while the records were still being read has shown its newer session already, and
+      // would not do so again: its task was taken for running for ever.
+      if (session !== null && p.session < session) this.gone(job, p, false, 'newer session', true);
+      else if (job.state === 'cancelled') job.askStop(p.task, 0, 'cancelled', this.now());
     }
     this.checkFinished(job);
   }
