--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -21,7 +21,9 @@
 });
 
 const LOOK_MS = 100;
+/** Where nothing speaks against the records, this share of the machines is enough, and so are so many of them. */
 const ENOUGH = 0.5;
+const MANY = 100;
 const MARGIN_MS = 1000;
 const DRIFT = 0.001;
 
@@ -30,8 +32,12 @@
   private current: SettlingState;
   /** The last report of each machine that has shown our token: from then on nothing older is executed there. */
   private readonly heard = new Map<MachineId, WorkerReport>();
+  /** Machines that reported at all. */
+  private readonly met = new Set<MachineId>();
   private unexplained = 0;
   private readonly sureAt: Ms;
+  /** Placements from before were read from records; later ones are this leader's own. */
+  private beganAt = 0 as Ms;
 
   constructor(
     private readonly tenure: Tenure,
@@ -61,27 +67,33 @@
       'settling',
     );
     this.current = next;
+    if (this.isOver) this.cluster.emit('plan');
   }
 
   async run(): Promise<void> {
     const { clock, trust } = this.tenure.c;
+    this.beganAt = clock.now();
     while (this.tenure.active && this.current !== 'settled') {
       // A peer that never lost sight of the store says so: then the records are whole.
       if (trust.continuous && this.current === 'asking' && this.unexplained === 0)
         this.enter('settled', 'a peer knows');
       else this.look(clock.now());
-      if (this.isOver) this.cluster.emit('plan');
       await clock.sleep(LOOK_MS);
     }
     this.heard.clear();
+    this.met.clear();
   }
 
   /** A report, by whatever way it came. */
   take(r: WorkerReport): void {
-    if (this.current === 'settled' || r.token !== this.tenure.c.leadership.token) return;
-    const isNew = !this.heard.has(r.machine);
-    this.heard.set(r.machine, r);
-    if (!isNew) return;
+    if (this.current === 'settled') return;
+    const m = this.cluster.machines.get(r.machine);
+    // One that came late was passed over by those who read it before.
+    if (m?.session !== r.session || m.seq !== r.seq) return;
+    const isOurs = r.token === this.tenure.c.leadership.token;
+    if (isOurs) this.heard.set(r.machine, r);
+    if (this.met.has(r.machine)) return;
+    this.met.add(r.machine);
     const strange = r.tasks.filter((t) => this.isUnexplained(t)).length;
     this.unexplained += strange;
     if (strange > 0 && this.current === 'half')
@@ -100,11 +112,13 @@
     const listedAt = this.listedAt();
     let expected = 0;
     let missing = 0;
+    let unmet = 0;
     for (const m of this.cluster.machines.values()) {
       if (m.state === 'gone') continue;
       if (this.cluster.heldCount(m.id) === 0 && !m.listedRunning && m.heardAt === null) continue;
       expected += 1;
       if (!this.heard.has(m.id)) missing += 1;
+      if (!this.met.has(m.id)) unmet += 1;
     }
     // A machine that was up shortly before may not be listed yet.
     const lagMs = settings.cloud.listLagS * 2000;
@@ -118,11 +132,9 @@
       this.unexplained === 0 &&
       !trust.hasLost &&
       listedAt !== null &&
-      missing <= expected * ENOUGH
-    ) {
-      this.reconcile(now);
-      this.enter('half', `${missing} of ${expected} machines are not heard yet`);
-    }
+      (unmet <= expected * ENOUGH || this.met.size >= MANY)
+    )
+      this.enter('half', `${unmet} of ${expected} machines have not reported yet`);
   }
 
   /** Puts the machines' word in the place of the records', for every machine that was heard. */
@@ -132,13 +144,15 @@
       const there = new Map(r.tasks.map((t) => [formatTaskName(t.job, t.task), t.attempt]));
       for (const { job, task } of [...this.cluster.heldOn(r.machine)]) {
         const p = job.placements.get(task);
-        if (p === undefined || p.session !== r.session || p.placedAt > this.tenure.electedAt) continue;
+        if (p === undefined || p.session !== r.session || p.placedAt > this.beganAt) continue;
         if (there.get(formatTaskName(job.spec.id, task)) === p.attempt) continue;
         this.cluster.gone(job, p, false, 'not on its machine');
         counts.gone += 1;
       }
     }
-    for (const r of this.heard.values())
+    for (const r of this.heard.values()) {
+      const m = this.cluster.machines.get(r.machine);
+      if (m?.session !== r.session || m.state === 'gone' || m.state === 'releasing') continue;
       for (const t of r.tasks) {
         const job = this.cluster.jobs.get(t.job);
         if (job === undefined || job.state !== 'active' || t.task >= job.spec.tasks || job.isDone(t.task))
@@ -152,6 +166,7 @@
           counts.done += 1;
         } else counts.adopted += 1;
       }
+    }
     this.tenure.c.log.info({ ...counts, ms: Math.round(now - this.tenure.electedAt) }, 'machines were asked');
   }
 
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,6 +1,8 @@
 import { Command } from 'commander';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
+import type { LossPart } from './state-loss.js';
+import { measureStateLoss, stateLossPart } from './state-loss.js';
 import { measureTariff, tariffPart } from './tariff.js';
 import type { Pair } from './tariff.js';
 
@@ -21,6 +23,11 @@
     all: measureGraphs,
     part: (p) => graphsPart(p as GraphsPart),
   },
+  'state-loss': {
+    what: 'losses of the state service: noticing, rebuilding, what is lost, what it costs',
+    all: measureStateLoss,
+    part: (p) => stateLossPart(p as LossPart),
+  },
 };
 
 new Command('measure')
--- a/packages/recovery/src/copy.ts
+++ b/packages/recovery/src/copy.ts
@@ -95,6 +95,8 @@
 
   /** A commit of this node's own that was confirmed: known at once, not only by the watch. */
   committed(changes: readonly Change[], revision: Revision): void {
+    // Answered after the watch had shown it, a record deleted since would come back here for good, and count as lost.
+    if (revision <= this.revision) return;
     const version = revision as number as Version;
     // Deletions first: they may let a job of the same commit be folded.
     for (const c of changes) if (!('put' in c)) this.remove(c.delete, version);
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -182,7 +182,8 @@
     const { trusted, continuous } = this;
     return {
       epoch: Math.max(this.copyOf, this.joined),
-      epochId: trusted ? (this.epoch?.id ?? '') : '',
+      // Of the epoch that it follows, or has followed and doubts; not of one that it only helps to gather.
+      epochId: this.joined > this.copyOf ? '' : (this.epoch?.id ?? ''),
       revision: trusted ? this.claimed : 0,
       trusted,
       continuous,
@@ -198,12 +199,13 @@
     if (this.soundness.state === 'unattached' || !this.trusted) return;
     if (status.epoch > this.copyOf) this.doubt(`${status.node} is in epoch ${status.epoch}`);
     else if (status.epoch < this.copyOf) return;
-    else if (!status.trusted) this.doubt(`${status.node} doubts it`);
+    else if (status.epochId === '') return;
     else if (status.epochId !== this.epoch?.id) {
       // Two stores behind one address. One side moves on, so that the other hears of a later epoch and refuses.
       if (status.epochId > (this.epoch?.id ?? ''))
         this.doubt(`${status.node} follows another epoch ${status.epoch}`);
-    } else {
+    } else if (!status.trusted) this.doubt(`${status.node} doubts it`);
+    else {
       this.claimed = Math.max(this.claimed, status.revision);
       if (status.continuous && this.trusted) this.isContinuous = true;
     }
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -47,6 +47,8 @@
   private readonly failing = new Map<JobId, { readonly sinceMs: number; readonly before: Answers }>();
   private answers: Answers = { given: 0, refused: 0 };
   starts = 0;
+  /** Starts of tasks that were done already: they end at once, but their place is taken. */
+  startsOfDone = 0;
   /** Told of every run that ends. */
   onRun: ((run: Run) => void) | null = null;
 
@@ -68,6 +70,7 @@
     machine: Omit<On, 'job' | 'task' | 'attempt' | 'sinceMs'> & { type: string; spot: boolean },
   ): void {
     this.starts += 1;
+    if (this.isDone(job.id, task)) this.startsOfDone += 1;
     const name = `${job.id}/${task}`;
     const other = [...this.on.values()].find((o) => o.job.id === job.id && o.task === task);
     if (other !== undefined) this.breaks('ran_twice', `${name} on ${other.machine} and ${machine.machine}`);
@@ -144,6 +147,13 @@
     this.askedCancel.add(id);
   }
 
+  /** Tasks of the kind that are on machines now. */
+  countOn(kind: JobSpec['kind']): number {
+    let count = 0;
+    for (const o of this.on.values()) if (o.job.kind === kind) count += 1;
+    return count;
+  }
+
   /** When users were told something new of a job, in order. */
   newsOf(id: string): readonly number[] {
     return this.news.get(id) ?? [];
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -62,6 +62,10 @@
     this.writeTokens = limits.writeRps;
   }
 
+  /** Requests and changes that were let through. */
+  requests = 0;
+  changes = 0;
+
   /** Whether the limits allow a request with this many changes now: bursts of a second's worth. */
   admits(changes: number): boolean {
     const passed = (this.time.now - this.refilledAt) / 1000;
@@ -74,6 +78,8 @@
     }
     this.requestTokens -= 1;
     this.writeTokens -= changes;
+    this.requests += 1;
+    this.changes += changes;
     return true;
   }
 
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -11,7 +11,7 @@
   readonly stateOk: boolean;
   /** Number of the state service's epoch that the sender follows, or helps to gather; 0 when it has no copy. */
   readonly epoch: number;
-  /** Id of the epoch that it follows ('' when none): two of one number are two stores. */
+  /** Id of the epoch that it follows, or doubts ('' when it has not entered it): two of one number are two stores. */
   readonly epochId: string;
   /** Highest revision that it knows of in that epoch. */
   readonly revision: number;
