Parts of task graphs may be deleted with their graph; deterministic epoch ids in the testkit

Found by the graphs' tests: a part's record that its graph deletes counted as a lost job. Users' own jobs alone are kept for ever.

--- a/packages/recovery/src/copy.ts
+++ b/packages/recovery/src/copy.ts
@@ -148,13 +148,18 @@
   value: unknown,
 ): string | null {
   if (known === undefined) return null;
-  if (value === undefined) return key.startsWith(JOB_PREFIX) ? `${key} is gone` : null;
+  if (value === undefined) return isKept(key, known) ? `${key} is gone` : null;
   if (version < known.version) return `${key} is at ${version}, was at ${known.version}`;
   if (version === known.version && !saysTheSame(key, known.text, JSON.stringify(value)))
     return `${key} has another value at ${version}`;
   return null;
 }
 
+/** Whether a record is never deleted: users' own jobs are not, parts of task graphs go with their graph. */
+export function isKept(key: string, seen: Seen): boolean {
+  return key.startsWith(JOB_PREFIX) && !seen.text.includes('"graph":"');
+}
+
 /** Phase of a job's record, or null where it cannot be read. */
 export function phaseOf(text: string): string | null {
   try {
--- a/packages/recovery/src/gathering.ts
+++ b/packages/recovery/src/gathering.ts
@@ -60,6 +60,8 @@
   readonly raw: StateStore;
   readonly clock: Clock;
   readonly wallNow: () => WallMs;
+  /** Ids that never come again. */
+  readonly newId?: () => string;
   readonly node: NodeId;
   /** Number of controllers, this one included. */
   readonly nodes: number;
@@ -163,11 +165,12 @@
   private async moveFence(found: Found, b: Bringing, first: boolean): Promise<void> {
     const fences = await this.p.raw.list(FENCE_PREFIX, 0);
     if (fences.outcome !== 'listed') return;
+    const newId = this.p.newId ?? randomUUID;
     const number = Math.max(b.highest, b.copyOf, found.epoch?.number ?? 0) + 1;
     const epoch: Epoch = {
       number: number as EpochNumber,
-      id: randomUUID(),
-      deployment: b.deployment ?? found.epoch?.deployment ?? randomUUID(),
+      id: newId(),
+      deployment: b.deployment ?? found.epoch?.deployment ?? newId(),
       floor: first ? 0 : nextFloor(Math.max(b.floor, found.epoch?.floor ?? 0), b.seen, this.p.wallNow()),
       phase: first ? 'open' : 'gathering',
       // A gathering that never opened wrote no records: what it came after stands for them.
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -28,7 +28,7 @@
 import { ABSENT } from '@spurbridge/wire';
 import { Auditor } from './audit.js';
 import type { Seen } from './copy.js';
-import { Copy, contradiction, phaseOf } from './copy.js';
+import { Copy, contradiction, isKept, phaseOf } from './copy.js';
 import type { Epoch } from './epoch.js';
 import { EPOCH_KEY, NO_EPOCH, isControlKey, tokenIn } from './epoch.js';
 import type { Bringing, Opened } from './gathering.js';
@@ -70,6 +70,7 @@
   readonly raw: StateStore;
   readonly clock: Clock;
   readonly wallNow: () => WallMs;
+  readonly newId?: () => string;
   readonly node: NodeId;
   readonly nodes: number;
   readonly limits: { readonly valueKb: number; readonly txnOps: number };
@@ -532,7 +533,7 @@
     if (JOB_PREFIX.startsWith(prefix))
       for (const [key, known] of this.copy.entries())
         if (
-          key.startsWith(JOB_PREFIX) &&
+          isKept(key, known) &&
           known.version <= listed.revision &&
           !present.has(key) &&
           !this.overlay.has(key)
@@ -555,7 +556,8 @@
     for (const c of conditions) {
       const version = this.overlay.real(c);
       // A record that was seen is not taken for one that never was, whatever the store says now.
-      const lost = c.version === ABSENT && c.key.startsWith(JOB_PREFIX) && this.copy.get(c.key) !== undefined;
+      const known = c.version === ABSENT ? this.copy.get(c.key) : undefined;
+      const lost = known !== undefined && isKept(c.key, known);
       if (version === null || lost) failed.push(c.key);
       else real.push({ key: c.key, version });
     }
--- a/packages/store/test/lease.test.ts
+++ b/packages/store/test/lease.test.ts
@@ -10,6 +10,9 @@
   const time = new SimTime();
   const clock = new ProcessClock(time, 1, 0);
   const store = {
+    trusted: true,
+    era: 0,
+    tokenOf: (version: number) => version,
     read: () => Promise.resolve({ outcome: 'absent' as const }),
     grantLease: () => Promise.resolve({ outcome: 'granted' as const, lease: 1 as LeaseId }),
     commit: () => Promise.resolve({ outcome: 'committed' as const, revision: 7 as Revision }),
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -98,6 +98,7 @@
   private readonly goneAt = new Map<MachineId, number>();
   private machines = 0;
   private incarnations = 0;
+  private ids = 0;
 
   constructor(private readonly o: WorldOptions) {
     this.generator = xoroshiro128plus(o.seed);
@@ -161,6 +162,7 @@
       raw: store,
       clock,
       wallNow,
+      newId: () => `id-${this.random(2 ** 30)}-${(this.ids += 1)}`,
       node: name,
       nodes: 3,
       limits: settings.state,
--- a/packages/testkit/test/loss-cases.test.ts
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -179,6 +179,7 @@
   while (placedOn(w, spec.id).length < 3 && w.time.now < 60_000) await w.run(w.time.now + 200);
   const on = placedOn(w, spec.id);
   assert.equal(on.length, 3);
+  await w.run(w.time.now + 4000);
   w.workers.get(on[0] as never)?.die();
   // Its mates exit with `peers`, the first attempt is over, the second not yet placed.
   while (placedOn(w, spec.id).length > 0) await w.run(w.time.now + 100);
