--- a/packages/controller/src/jobs.ts
+++ b/packages/controller/src/jobs.ts
@@ -72,7 +72,8 @@
     const found = await this.store.read(jobKey(id), 1);
     if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
     if (found.outcome !== 'found') return unsure('the state service does not answer');
-    const record = decodeJob(found.item.value);
+    const record = readable(found.item.value);
+    if (record === null) return unsure('the record cannot be read');
     // A part of a task graph is no job that anybody submitted: its graph is asked about, and cancelled.
     if (record.graph !== undefined) return { code: 404, error: 'no such job' };
     const p = this.progress(id) ?? { done: 0, running: 0 };
@@ -87,7 +88,8 @@
       const found = await this.store.read(jobKey(id), 1);
       if (found.outcome === 'absent') return { code: 404, error: 'no such job' };
       if (found.outcome !== 'found') return unsure('the state service does not answer');
-      const record = decodeJob(found.item.value);
+      const record = readable(found.item.value);
+      if (record === null) return unsure('the record cannot be read');
       if (record.graph !== undefined) return { code: 404, error: 'no such job' };
       if (record.phase !== 'active') return { code: 200, status: { id, phase: record.phase } };
       const outcome = await this.store.commit(
@@ -102,6 +104,16 @@
   }
 }
 
+/** A record that no copy is left of and nobody can read any more says neither that a job is known nor that it is not. */
+function readable(value: unknown): JobRecord | null {
+  try {
+    return decodeJob(value);
+  } catch (e) {
+    if (e instanceof MalformedError) return null;
+    throw e;
+  }
+}
+
 function unsure(error: string): Answer {
   return { code: 503, error, retryAfterS: 1 };
 }
