--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -10,6 +10,7 @@
 import { JobRecords } from './records.js';
 import { Reports } from './reports.js';
 import { answerHorizonMs } from './settings.js';
+import { Served } from './served.js';
 import { Settling } from './settling.js';
 import { Sweeper } from './sweeper.js';
 import type { LeaderContext, Room } from './tenure.js';
@@ -31,6 +32,7 @@
   private readonly sweeper: Sweeper;
   private readonly shown: Progress;
   private readonly settling: Settling;
+  private readonly served: Served;
   private readonly rooms: readonly Room[];
   private ready = false;
 
@@ -52,6 +54,7 @@
     this.shown = new Progress(tenure, cluster);
     this.records = new JobRecords(tenure, cluster);
     this.reports = new Reports(tenure, cluster, estimates);
+    this.served = new Served(tenure, cluster);
     this.settling = new Settling(tenure, cluster, () => this.fleet.listedAt);
     const isSettled = (): boolean => this.settling.isOver;
     const takeReport = (r: WorkerReport): void => {
@@ -96,6 +99,7 @@
       this.fleet.run(),
       this.shown.run(),
       this.settling.run(),
+      this.served.run(),
       ...this.rooms.map((room) => room.run()),
     ]);
   }
