--- a/packages/daemon/src/main-shelf.ts
+++ b/packages/daemon/src/main-shelf.ts
@@ -114,7 +114,11 @@
   .description('put back what the snapshot has and the state service lacks')
   .requiredOption('--config <file>', "the platform's settings file (TOML)")
   .option('--dry-run', 'only say what would change')
-  .action(async (file: string, f: { config: string; dryRun?: boolean }) => {
+  .option(
+    '--deployment <id>',
+    'take a snapshot of this deployment, although the state service is another by now',
+  )
+  .action(async (file: string, f: { config: string; dryRun?: boolean; deployment?: string }) => {
     try {
       let bytes: Buffer;
       try {
@@ -124,8 +128,9 @@
       }
       const snapshot = decodeSnapshot(bytes);
       const tools = toolsOf(f.config);
-      if (f.dryRun === true) show(await dryRun(tools, snapshot), false);
-      else show(await restore(tools, snapshot, PATIENCE_MS), true);
+      const accepted = f.deployment ?? null;
+      if (f.dryRun === true) show(await dryRun(tools, snapshot, accepted), false);
+      else show(await restore(tools, snapshot, PATIENCE_MS, accepted), true);
     } catch (e) {
       failed(e);
     }
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -388,7 +388,7 @@
     const { epoch } = this;
     const seen = await this.asked(() => this.p.raw.watch('', this.copy.revision, WATCH_MS));
     if (this.epoch !== epoch || !this.trusted) return;
-    if (seen.outcome === 'compacted') return this.doubt('the watch was left behind');
+    if (seen.outcome === 'compacted') return this.catchUp();
     if (seen.outcome !== 'events') return this.p.clock.sleep(RETRY_MS);
     if (seen.events.some((e) => 'put' in e && e.put === EPOCH_KEY && e.version > this.fence.version))
       await this.checkEpoch();
@@ -396,6 +396,18 @@
     if (seen.events.length > 0) await this.p.clock.sleep(WATCH_PAUSE_MS);
   }
 
+  /** Left behind by more changes than the state service keeps: read anew, and compared with what was known. */
+  private async catchUp(): Promise<void> {
+    const { epoch } = this;
+    const listed = await this.list('', 0);
+    if (listed.outcome !== 'listed' || this.epoch !== epoch) return this.p.clock.sleep(RETRY_MS);
+    // A stand-in is no newer than the fence; those that were written since are in the list as themselves.
+    this.copy.replace(
+      listed.items.map((i) => (i.version < 0 ? { ...i, version: this.fence.version } : i)),
+      listed.revision,
+    );
+  }
+
   private async checkEpoch(): Promise<void> {
     const found = await this.gathering.find();
     if (found !== null && found.epoch?.id !== this.epoch?.id) this.doubt('the fence was moved');
--- a/packages/snapshot/src/restore.ts
+++ b/packages/snapshot/src/restore.ts
@@ -74,11 +74,18 @@
   readonly kept: number;
 }
 
-async function differences(t: StateTools, s: Snapshot): Promise<{ now: StoreNow; difference: Difference }> {
+async function differences(
+  t: StateTools,
+  s: Snapshot,
+  accepted: string | null,
+): Promise<{ now: StoreNow; difference: Difference }> {
   const now = await readNow(t);
-  if (now.deployment !== null && now.deployment !== s.deployment)
+  // A state service that was emptied, with nobody left to remember, began as a deployment of its own: only a person
+  // can tell that the snapshot is of the one before.
+  if (now.deployment !== null && now.deployment !== s.deployment && accepted !== s.deployment)
     throw new StateToolError(
-      `the snapshot is of deployment ${s.deployment}, the state service of ${now.deployment}: refused`,
+      `the snapshot is of deployment ${s.deployment}, the state service of ${now.deployment}: refused ` +
+        `(--deployment ${s.deployment} if it is the same one before all was lost)`,
     );
   const store: Memory = { epoch: now.epoch, get: (k) => now.copy.get(k), keys: () => now.copy.keys() };
   const due = merge(store, [s]).filter((r) => !isControlKey(r.key));
@@ -88,16 +95,25 @@
 }
 
 /** What `restore` would do; nothing is written. */
-export async function dryRun(t: StateTools, s: Snapshot): Promise<Difference> {
-  return (await differences(t, s)).difference;
+export async function dryRun(
+  t: StateTools,
+  s: Snapshot,
+  accepted: string | null = null,
+): Promise<Difference> {
+  return (await differences(t, s, accepted)).difference;
 }
 
 /**
  * Puts a snapshot back by moving the fence, as after a loss: controllers that run take part with what they remember, and
  * whatever is newer than the snapshot stays. It opens as an epoch in which machines are asked first.
  */
-export async function restore(t: StateTools, s: Snapshot, patienceMs: number): Promise<Difference> {
-  const { now, difference } = await differences(t, s);
+export async function restore(
+  t: StateTools,
+  s: Snapshot,
+  patienceMs: number,
+  accepted: string | null = null,
+): Promise<Difference> {
+  const { now, difference } = await differences(t, s, accepted);
   const gathering = new Gathering({
     ...t,
     node: 'restore' as NodeId,
--- a/packages/testkit/test/loss-cases.test.ts
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -1,11 +1,22 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { encodeSnapshot, snapshotName } from '@spurbridge/snapshot';
+import {
+  StateToolError,
+  decodeSnapshot,
+  dryRun,
+  encodeSnapshot,
+  restore,
+  snapshotName,
+  takeSnapshot,
+} from '@spurbridge/snapshot';
+import type { StateTools } from '@spurbridge/snapshot';
 import type { JobId, JobSpec, Revision, Version } from '@spurbridge/wire';
 import type { Checkpoint, World } from '../src/index.js';
 import {
   MemoryFolder,
+  ProcessClock,
   STATE_HOST,
+  SimStore,
   cutZone,
   fork,
   jobSpec,
@@ -318,3 +329,66 @@
   await w.run(60_000);
   assert.deepEqual(w.checker.broken, []);
 });
+
+/** An operator's command, run beside the controllers. */
+function operator(w: World): StateTools {
+  const clock = new ProcessClock(w.time, 1, 0);
+  return {
+    raw: new SimStore(w.state, 'operator', clock),
+    clock,
+    wallNow: () => w.wallStart as never,
+    valueKb: 16,
+    nodes: 3,
+    log: { info: () => undefined },
+  };
+}
+
+test('an operator’s snapshot brings back what nobody remembers, beside controllers that run on', async () => {
+  const w = watched(15);
+  for (const n of [1, 2]) w.user(service(n), null);
+  await w.run(30_000);
+  const taken = await answered(w, takeSnapshot(operator(w)));
+  const snapshot = decodeSnapshot(taken.bytes);
+  w.state.empty();
+  for (let i = 0; i < 3; i += 1) w.crash(i);
+  await w.run(70_000);
+  w.user(service(3), null);
+  await w.run(90_000);
+  assert.equal(placedOn(w, id(1)).length + placedOn(w, id(2)).length, 0);
+  // Another life of the state service is another deployment: only its own records may be mixed with it.
+  const foreign = await answered(
+    w,
+    dryRun(operator(w), snapshot).catch((e: unknown) => e),
+  );
+  assert.ok(foreign instanceof StateToolError && foreign.message.includes('deployment'));
+  const ours = snapshot.deployment;
+  const before = await answered(w, dryRun(operator(w), snapshot, ours));
+  assert.ok(before.missing.includes(`j/${id(1)}`) && !before.missing.includes(`j/${id(3)}`));
+  assert.equal(w.state.peek(`j/${id(1)}`), undefined, 'a dry run writes nothing');
+  const broken = w.checker.broken.length;
+  const done = await answered(w, restore(operator(w), snapshot, 30_000, ours));
+  assert.deepEqual(done.missing, before.missing);
+  await w.run(w.time.now + 60_000);
+  assert.deepEqual([w.phaseOf(id(1)), w.phaseOf(id(3))], ['active', 'active']);
+  for (const n of [1, 2, 3]) assert.ok(placedOn(w, id(n)).length > 0, `service ${n} runs`);
+  assert.deepEqual(w.checker.broken.slice(broken), []);
+});
+
+test('a controller left behind by more changes than the store keeps reads anew and doubts nothing', async () => {
+  const w = watched(16);
+  w.user(service(1), null);
+  await w.run(20_000);
+  const node = w.nodes[(leaderIndex(w) + 1) % 3];
+  assert.ok(node !== undefined);
+  const watch = node.store.watch.bind(node.store);
+  let left = 3;
+  node.store.watch = (...args) => {
+    left -= 1;
+    return left < 0 ? watch(...args) : Promise.resolve({ outcome: 'compacted' });
+  };
+  w.user(jobSpec({ id: id(2), tasks: 4, estimateS: 5 }), null);
+  await w.run(60_000);
+  assert.ok(allTrusted(w));
+  assert.equal((w.state.peek('epoch') as { number: number }).number, 1);
+  assert.equal(node.guard.phaseOf(id(2)), 'done');
+});
