--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -60,7 +60,7 @@
     const takeReport = (r: WorkerReport): void => {
       this.take(r);
     };
-    this.commands = new Commands(tenure, cluster, takeReport, isSettled);
+    this.commands = new Commands(tenure, cluster, takeReport, () => this.settling.knowsMachines);
     this.recorder = new Recorder(
       tenure,
       cluster,
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -194,7 +194,7 @@
   }
 
   report(r: WorkerReport): ReportAnswer {
-    this.parts.store.tokenShown(r.token);
+    this.parts.store.workerSaid(r.machine, r.token);
     this.leadership.observe(r.token, null);
     const { leader } = this;
     const state = this.leadership.state;
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -10,12 +10,14 @@
 
 /**
  * `settled`: what may be on every machine is known. `asking`: records may be missing, so machines are asked first
- * (docs/state-loss.md). `half`: nothing spoke against the records where half of the machines were heard.
+ * (docs/state-loss.md). `clearing`: what no known job explains is stopped, and nothing started before it is gone: it could
+ * be any team's. `half`: nothing spoke against the records where half of the machines were heard.
  */
-export type SettlingState = 'asking' | 'half' | 'settled';
+export type SettlingState = 'asking' | 'clearing' | 'half' | 'settled';
 
 const transitions = new Transitions<SettlingState>('settling', {
-  asking: ['half', 'settled'],
+  asking: ['clearing', 'half', 'settled'],
+  clearing: ['settled'],
   half: ['asking', 'settled'],
   settled: [],
 });
@@ -35,6 +37,8 @@
   /** Machines that reported at all. */
   private readonly met = new Set<MachineId>();
   private unexplained = 0;
+  /** Machines on which something runs that no known job explains. */
+  private readonly strays = new Set<MachineId>();
   private readonly sureAt: Ms;
   /** Placements from before were read from records; later ones are this leader's own. */
   private beganAt = 0 as Ms;
@@ -54,8 +58,13 @@
     return this.current;
   }
 
-  /** Whether tasks may be started, and machines given back. */
+  /** Whether tasks may be placed, and machines given back. */
   get isOver(): boolean {
+    return this.current === 'half' || this.current === 'settled';
+  }
+
+  /** Whether machines may be told to start, to stop what is not known, and to forget. */
+  get knowsMachines(): boolean {
     return this.current !== 'asking';
   }
 
@@ -92,6 +101,7 @@
     if (m?.session !== r.session || m.seq !== r.seq) return;
     const isOurs = r.token === this.tenure.c.leadership.token;
     if (isOurs) this.heard.set(r.machine, r);
+    if (isOurs && this.strays.has(r.machine) && !this.hasStrays(r)) this.strays.delete(r.machine);
     if (this.met.has(r.machine)) return;
     this.met.add(r.machine);
     const strange = r.tasks.filter((t) => this.isUnexplained(t)).length;
@@ -107,7 +117,26 @@
     return t.task < job.spec.tasks && job.state === 'active' && t.attempt > job.chunkOf(t.task).attempts;
   }
 
+  /** Whether the machine runs what is not placed there. */
+  private hasStrays(r: WorkerReport): boolean {
+    return r.tasks.some((t) => {
+      const p = this.cluster.jobs.get(t.job)?.placements.get(t.task);
+      return t.phase !== 'exited' && (p?.machine !== r.machine || p.attempt !== t.attempt);
+    });
+  }
+
+  private clear(): void {
+    for (const id of this.strays) {
+      const state = this.cluster.machines.get(id)?.state;
+      if (state === undefined || state === 'gone') this.strays.delete(id);
+    }
+    if (this.strays.size > 0) return;
+    this.enter('settled', 'nothing unknown runs any more');
+    this.tenure.c.trust.settled();
+  }
+
   private look(now: Ms): void {
+    if (this.current === 'clearing') return this.clear();
     const { settings, trust } = this.tenure.c;
     const listedAt = this.listedAt();
     let expected = 0;
@@ -124,8 +153,13 @@
     const lagMs = settings.cloud.listLagS * 2000;
     const isListed = listedAt !== null && listedAt > later(this.tenure.electedAt, lagMs);
     if ((missing === 0 && isListed) || now > this.sureAt) {
-      if (this.current === 'asking') this.reconcile(now);
-      this.enter('settled', missing === 0 ? 'every machine was heard' : 'every earlier lease is over');
+      const why = missing === 0 ? 'every machine was heard' : 'every earlier lease is over';
+      if (this.current === 'asking') {
+        this.reconcile(now);
+        for (const r of this.heard.values()) if (this.hasStrays(r)) this.strays.add(r.machine);
+      }
+      if (this.strays.size > 0) return this.enter('clearing', why);
+      this.enter('settled', why);
       trust.settled();
     } else if (
       this.current === 'asking' &&
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,6 +31,7 @@
     destination({ fd: 2, sync: true }),
   );
   const shelf = addition?.shelf?.(flags, log);
+  const cloud = new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock);
   const store = new GuardedStore({
     ...(shelf === undefined ? {} : { shelf }),
     raw: new HttpStateStore(settings.stateAddress, settings.state, steadyClock),
@@ -39,6 +40,7 @@
     node: settings.node,
     nodes: settings.peers.length + 1,
     limits: settings.state,
+    machines: async () => (await cloud.list())?.filter((m) => m.phase === 'running').length ?? null,
     log,
     changed: () => {
       controller.trustChanged();
@@ -47,7 +49,7 @@
   const controller: Controller = new Controller({
     settings,
     store,
-    cloud: new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock),
+    cloud,
     workers: new HttpWorkerLink(settings.maxSockets),
     clock: steadyClock,
     wallNow: () => Date.now() as WallMs,
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -18,6 +18,7 @@
   Item,
   JobId,
   LeaseId,
+  MachineId,
   NodeId,
   PeerStatus,
   Revision,
@@ -52,6 +53,9 @@
 /** A first start is believed after this: all peers were heard without a copy, or twice waited for. */
 const FIRST_MS = 700;
 const FIRST_ALONE_MS = 2000;
+/** So many workers that have seen no token, or half of those there are. */
+const FRESH_WORKERS = 20;
+const ASK_MS = 100;
 /** Users repeat a submission for so long: until then an id that is not known may yet come. */
 const RETRIES_MS = 60_000;
 const WRITE_BACK_MS = 250;
@@ -75,6 +79,8 @@
   readonly nodes: number;
   readonly limits: { readonly valueKb: number; readonly txnOps: number };
   readonly log: { info(fields: object, message: string): void };
+  /** Machines that the cloud lists as running, or null without an answer: asked only where no epoch is found. */
+  readonly machines: () => Promise<number | null>;
   /** Told of every change of trust, after it. */
   readonly changed: () => void;
   readonly shelf?: SnapshotShelf;
@@ -106,6 +112,9 @@
   private doubtedAt: Ms | null = null;
   private readonly peers = new Map<NodeId, { at: Ms; since: Ms; status: PeerStatus }>();
   private readonly startedAt: Ms;
+  /** Workers that have never seen a token; and how many machines the cloud lists. */
+  private readonly fresh = new Set<MachineId>();
+  private listed: number | null = null;
   private readonly gathering: Gathering;
   private readonly auditor: Auditor;
   private snapshot: SnapshotMemory | null = null;
@@ -212,8 +221,14 @@
     }
   }
 
+  /** A worker reported with this token. */
+  workerSaid(machine: MachineId, token: Token): void {
+    if (this.soundness.state === 'unattached' && token === 0) this.fresh.add(machine);
+    this.tokenShown(token);
+  }
+
   /** A worker, or a leader's record, showed this token. */
-  tokenShown(token: Token): void {
+  private tokenShown(token: Token): void {
     if (token <= this.seenToken) return;
     this.seenToken = token;
     // A leader of this epoch was elected at that revision: the store must have reached it.
@@ -317,9 +332,8 @@
       return this.doubt(`epoch ${epoch.number} is ${epoch.phase}, of others ${this.heard().ahead}`);
     const opened = await this.gathering.load(epoch);
     if (opened === null) return;
-    const s = this.snapshot;
-    if (s !== null && (s.epoch > epoch.number || (s.epoch === epoch.number && s.revision > opened.revision)))
-      return this.doubt(`a snapshot is later: epoch ${s.epoch}, revision ${s.revision}`);
+    const later = this.snapshot === null ? null : whyLater(this.snapshot, opened);
+    if (later !== null) return this.doubt(later);
     this.enter(opened);
   }
 
@@ -338,6 +352,7 @@
     const aloneMs = peers.length >= this.p.nodes - 1 ? FIRST_MS : FIRST_ALONE_MS;
     if (this.seenToken > 0 || this.snapshot !== null) this.doubt('no epoch, but a token or a snapshot');
     else if (ahead > 0 || now - this.startedAt < aloneMs) await this.p.clock.sleep(50);
+    else if (!(await this.isNewToWorkers())) await this.p.clock.sleep(ASK_MS);
     else {
       const listed = await this.p.raw.list('', 0);
       if (listed.outcome !== 'listed') await this.p.clock.sleep(RETRY_MS);
@@ -346,6 +361,15 @@
     }
   }
 
+  /**
+   * Whether the workers know of no earlier leader. Where the cloud lists machines, some of them are heard first: a store
+   * that was emptied with all controllers dead once passed for a new one, and its first token for a higher one.
+   */
+  private async isNewToWorkers(): Promise<boolean> {
+    this.listed ??= await this.p.machines();
+    return this.listed !== null && this.fresh.size >= Math.min(Math.ceil(this.listed / 2), FRESH_WORKERS);
+  }
+
   private enter(o: Opened): void {
     const { epoch, fence, revision } = o;
     const atFence = o.pending.map((r) => ({
@@ -669,6 +693,27 @@
   }
 }
 
+/** Why the store that was entered lacks what a snapshot of it has, or null. */
+function whyLater(s: SnapshotMemory, o: Opened): string | null {
+  const { number } = o.epoch;
+  if (s.epoch > number || (s.epoch === number && s.revision > o.revision))
+    return `a snapshot is later: epoch ${s.epoch}, revision ${s.revision}`;
+  const here = new Map(o.items.map((i) => [i.key, i]));
+  for (const p of o.pending)
+    here.set(p.key, { key: p.key, value: JSON.parse(p.text), version: s.revision as never });
+  for (const key of s.keys()) {
+    const seen = s.get(key);
+    const item = here.get(key);
+    // Versions of an earlier epoch do not compare, but that a job is known does.
+    const why =
+      seen === undefined || (item !== undefined && s.epoch < number)
+        ? null
+        : contradiction(key, seen, item?.version ?? ABSENT, item?.value);
+    if (why !== null) return `${why} in a snapshot`;
+  }
+  return null;
+}
+
 function plainEvent(e: WatchEvent): WatchEvent {
   return 'put' in e && isTombstone(e.value) ? { delete: e.put, version: e.version } : e;
 }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -150,6 +150,7 @@
     const log = this.o.log ?? silent;
     const wallNow = (): WallMs => (this.wallStart + this.time.now + this.random(20)) as WallMs;
     const settings = this.settings(name, zone);
+    const cloud = this.cloudFor(name);
     const { snapshots } = this.o;
     const shelf =
       snapshots === undefined
@@ -166,6 +167,7 @@
       node: name,
       nodes: 3,
       limits: settings.state,
+      machines: async () => (await cloud.list())?.filter((m) => m.phase === 'running').length ?? null,
       log,
       changed: () => {
         controller.trustChanged();
@@ -175,7 +177,7 @@
     const controller: Controller = new Controller({
       settings,
       store: guard,
-      cloud: this.cloudFor(name),
+      cloud,
       workers: this.linkFor(name),
       clock,
       wallNow,
--- a/packages/testkit/test/loss-cases.test.ts
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -392,3 +392,21 @@
   assert.equal((w.state.peek('epoch') as { number: number }).number, 1);
   assert.equal(node.guard.phaseOf(id(2)), 'done');
 });
+
+test('tasks that nobody knows any more count against every team until they are gone', async () => {
+  const w = watched(17, { leaseS: 30, cancelS: 50 });
+  // One team at its limit of 40 CPUs, on machines with room to spare; its jobs are forgotten with everything else.
+  const all = [1, 2, 3, 4, 5];
+  for (const n of all) w.user(service(n, { cpus: 8, tasks: 1, types: ['m16'], zone: 'a' }), null);
+  await w.run(45_000);
+  assert.ok(all.every((n) => placedOn(w, id(n)).length > 0));
+  w.state.empty();
+  for (let i = 0; i < 3; i += 1) w.crash(i);
+  for (const n of [11, 12, 13]) w.user(service(n, { cpus: 1, tasks: 4, types: ['m16'], zone: 'a' }), null);
+  await w.run(110_000);
+  assert.ok([11, 12, 13].every((n) => placedOn(w, id(n)).length > 0));
+  assert.deepEqual(
+    w.checker.broken.filter((b) => b.rule !== 'forgotten'),
+    [],
+  );
+});
