--- a/packages/testkit/test/checker.test.ts
+++ b/packages/testkit/test/checker.test.ts
@@ -96,3 +96,49 @@
     ['went_back'],
   );
 });
+
+test('a gang of which only some tasks complete is found split, a whole one is not', () => {
+  const gang = jobSpec({ id, kind: 'gang', tasks: 2 });
+  assert.deepEqual(
+    judged((c) => {
+      c.started(gang, 0, one, on('n-1'));
+      c.completed(gang, one);
+    }),
+    ['gang_split'],
+  );
+  // A task of another attempt is none of its mates.
+  assert.deepEqual(
+    judged((c) => {
+      c.started(gang, 0, one, on('n-1'));
+      c.started(gang, 1, 2 as Attempt, on('n-2'));
+      c.completed(gang, one);
+    }),
+    ['gang_split'],
+  );
+  assert.deepEqual(
+    judged((c) => {
+      c.started(gang, 0, one, on('n-1'));
+      c.started(gang, 1, one, on('n-2'));
+      c.completed(gang, one);
+    }),
+    [],
+  );
+});
+
+test('a job whose every poll fails for 90 s is forgotten, while most others are answered', () => {
+  const other = 'wk-000002' as JobId;
+  const polls = (othersAnswered: boolean) =>
+    judged((c, later) => {
+      for (const job of [id, other]) {
+        c.submit(jobSpec({ id: job }));
+        c.told(job, 'submit', 201, 'queued');
+      }
+      for (let n = 0; n < 20; n += 1) {
+        later(5000);
+        c.told(id, 'poll', 503, null);
+        for (let i = 0; i < 3; i += 1) c.told(other, 'poll', othersAnswered ? 200 : 503, 'queued');
+      }
+    });
+  assert.deepEqual(new Set(polls(true)), new Set(['forgotten']));
+  assert.deepEqual(polls(false), []);
+});
