--- a/packages/testkit/test/loss-cases.test.ts
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -410,3 +410,42 @@
     [],
   );
 });
+
+for (const step of ['fence moved', 'pages written', 'epoch opened'] as const)
+  test(`the node that gathers is killed right after: ${step}; it begins again and ends the same`, async () => {
+    const w = watched(18);
+    for (const n of [1, 2, 3]) w.user(service(n), null);
+    w.user(jobSpec({ id: id(4), tasks: 6, estimateS: 9 }), null);
+    await w.run(40_000);
+    const before = w.checker.starts;
+    w.state.empty();
+    let killed = '';
+    for (let n = 0; n < 400 && killed === ''; n += 1) {
+      await w.run(w.time.now + 5);
+      const epoch = w.state.peek('epoch') as { by: string; phase: string; number: number } | undefined;
+      if (epoch === undefined || epoch.number < 2) continue;
+      const isThere =
+        step === 'fence moved'
+          ? epoch.phase === 'gathering'
+          : step === 'pages written'
+            ? w.state.keys().some((k) => k.startsWith('m/') && k.endsWith(`${epoch.by}/done`))
+            : epoch.phase === 'open';
+      if (!isThere) continue;
+      killed = epoch.by;
+      w.crash(w.nodes.findIndex((x) => x.name === killed));
+    }
+    assert.notEqual(killed, '');
+    await w.run(55_000);
+    assert.ok(w.nodes.some((n) => n.clock.alive && n.controller.leadership.holdsSurely()));
+    await w.run(150_000);
+    assert.ok(allTrusted(w));
+    assert.equal(w.phaseOf(id(4)), 'done');
+    assert.ok(w.checker.starts - before <= 6, `${w.checker.starts - before} starts`);
+    assert.deepEqual(w.checker.broken, []);
+    // Pages and markers of every try are gone in the end.
+    assert.deepEqual(
+      w.state.keys().filter((k) => k.startsWith('m/')),
+      [],
+    );
+    assert.equal(w.state.keys().filter((k) => k.startsWith('e/')).length, 1);
+  });
