The planner's steps in a folder; gangs and jobs no longer import each other

Order, guarantees, queues, pool, evaluation, preemption, gangs and settling are files round the plan's ground; placements have a file of their own.

--- a/packages/model/src/gang.ts
+++ b/packages/model/src/gang.ts
@@ -1,5 +1,5 @@
 import type { Attempt } from '@spurbridge/wire';
-import type { Placement } from './job.js';
+import type { Placement } from './placement.js';
 import { Transitions } from './transition.js';
 
 /**
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -1,6 +1,6 @@
 import { fitsType } from '@spurbridge/model';
 import type { JobSpec, MachineId, MachineType } from '@spurbridge/wire';
-import type { Unmet } from './plan.js';
+import type { Unmet } from './plan/index.js';
 
 export interface FleetMachine {
   readonly id: MachineId;
--- a/packages/planner/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -1,4 +1,4 @@
 export * from './snapshot.js';
 export { Heap } from './heap.js';
-export * from './plan.js';
+export * from './plan/index.js';
 export * from './fleet.js';
--- /dev/null
+++ b/packages/planner/src/plan/evaluate.ts
@@ -0,0 +1,136 @@
+import type { JobView } from '../snapshot.js';
+import { NumberHeap } from '../heap.js';
+import type { Ground } from './ground.js';
+import type { Queue } from './queue.js';
+import type { Choice, Evaluation } from './types.js';
+import { allows, fetchSeconds } from './types.js';
+
+/** Differences in completion below this are no reason to prefer one machine to another. */
+const SAME_S = 0.5;
+/** A service that takes a whole task's place on a machine is worth waiting this long to avoid. */
+const FRAGMENT_S = 2;
+/** A service that would serve later than its aim rather takes a whole task's place. */
+const MISS_S = 3;
+/** Where money counts, work that may use spot machines takes them even if it ends this much later. */
+const DEAR_S = 4;
+/**
+ * Room for a gang is taken to come free later than estimated, the more so the longer it has waited: gangs
+ * had waited 50 to 100 s for machines that hold their image, always about to be free, beside empty ones.
+ */
+const GANG_DOUBT_S = 5;
+const GANG_DOUBT_AGE_S = 15;
+/** More than the tasks of one job that a plan puts on one machine. */
+const USES = 1024;
+
+/** Where each task would go, and when the job would complete; changes nothing. */
+export function evaluate(g: Ground, job: JobView): Evaluation {
+  const spec = job.spec;
+  if (spec.oneZone) {
+    let best: Evaluation | null = null;
+    const held = job.zones[0];
+    const zones = held !== undefined ? [held] : [...new Set(g.s.machines.map((m) => m.zone))];
+    for (const zone of zones) {
+      const e = evaluateIn(g, job, zone);
+      if (best === null || e.unplaced < best.unplaced || e.completionS < best.completionS) best = e;
+    }
+    if (best !== null) return best;
+  }
+  return evaluateIn(g, job, null);
+}
+
+/** Estimates the start and end of a task in a queue; false when it never fits there. */
+export function estimate(g: Ground, job: JobView, at: number, q: Queue): boolean {
+  const { spec } = job;
+  const m = q.machine;
+  g.steps += 1;
+  const startS = q.earliestStart(spec);
+  if (startS === Infinity) return false;
+  const service = spec.kind === 'service';
+  const busy = startS + fetchSeconds(job, m);
+  // A service never completes: what counts for it is when it serves.
+  const endS = service ? busy : busy + Math.max(job.estimateS, 0.5) * m.slowness;
+  let costS = endS + (g.s.frugal && spec.spot && !m.spot ? DEAR_S : 0);
+  if (spec.kind === 'gang') {
+    // A gang waits for the slowest of its places, and estimates of what runs there are off.
+    if (startS > 0) costS += GANG_DOUBT_S + startS * (1 + job.ageS / GANG_DOUBT_AGE_S);
+  }
+  if (service) {
+    if (g.s.typicalTask !== null) costS += q.slotsLost(spec, g.s.typicalTask) * FRAGMENT_S;
+    if (endS > job.patienceS) costS += MISS_S;
+  }
+  g.startS[at] = startS;
+  g.endS[at] = endS;
+  g.bucket[at] = Math.floor(costS / SAME_S);
+  return true;
+}
+
+export function evaluateIn(g: Ground, job: JobView, zone: string | null): Evaluation {
+  const spec = job.spec;
+  const service = spec.kind === 'service';
+  const balanced = spec.spread || service;
+  const changed = new Map<number, { before: Queue; after: Queue }>();
+  const perZone = new Int32Array(g.zones.length);
+  for (const z of job.zones) {
+    const i = g.zones.indexOf(z);
+    if (i >= 0) perZone[i] = (perZone[i] as number) + 1;
+  }
+  const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+  const n = g.queues.length;
+  const { uses, place } = g;
+  // Cost, use and rank in one number, so that comparing machines is comparing numbers.
+  const key = (at: number): number =>
+    ((g.bucket[at] as number) * USES + (balanced ? (uses[at] as number) : 0)) * n + (place[at] as number);
+  // One heap of machines for each zone where the zones are to be balanced, otherwise one for all.
+  const heaps = Array.from({ length: balanced ? g.zones.length : 1 }, () => new NumberHeap());
+  const heapOf = (at: number): NumberHeap => heaps[balanced ? (g.zoneOf[at] as number) : 0] as NumberHeap;
+  for (let at = 0; at < n; at += 1) {
+    const q = g.queues[at] as Queue;
+    const m = q.machine;
+    if ((zone !== null && m.zone !== zone) || !allows(job, m) || (job.avoid.size > 0 && job.avoid.has(m.id)))
+      continue;
+    uses[at] = 0;
+    if (estimate(g, job, at, q)) heapOf(at).append(key(at));
+  }
+  for (const h of heaps) h.arrange();
+  const choices: Choice[] = [];
+  let completionS = 0;
+  for (const task of job.pending) {
+    let best = -1;
+    let least = Infinity;
+    for (const h of heaps) {
+      const top = h.peek();
+      if (top === undefined) continue;
+      const at = g.atPlace[top % n] as number;
+      const inZone = perZone[g.zoneOf[at] as number] as number;
+      if (inZone >= zoneMost) continue;
+      if (best >= 0 && balanced) {
+        const costs = Math.floor(top / (USES * n)) - Math.floor(least / (USES * n));
+        const byZone = inZone - (perZone[g.zoneOf[best] as number] as number);
+        if ((costs || byZone || top - least) >= 0) continue;
+      }
+      best = at;
+      least = top;
+    }
+    if (best < 0) break;
+    let q = changed.get(best);
+    if (q === undefined) {
+      const before = g.queues[best] as Queue;
+      q = { before, after: before.copy() };
+      changed.set(best, q);
+    }
+    const startS = g.startS[best] as number;
+    const endS = g.endS[best] as number;
+    choices.push({ task, at: best, startS, endS });
+    completionS = Math.max(completionS, endS);
+    q.after.add(spec, startS, service ? Infinity : endS);
+    uses[best] = (uses[best] as number) + 1;
+    const z = g.zoneOf[best] as number;
+    perZone[z] = (perZone[z] as number) + 1;
+    if (estimate(g, job, best, q.after)) heapOf(best).replaceTop(key(best));
+    else heapOf(best).pop();
+  }
+  const unplaced = job.pending.length - choices.length;
+  if (unplaced > 0) completionS = Infinity;
+  else if (job.pendingCount > job.pending.length) completionS *= job.pendingCount / job.pending.length;
+  return { job, completionS, choices, changed, unplaced, epoch: g.epoch };
+}
--- /dev/null
+++ b/packages/planner/src/plan/guarantees.ts
@@ -0,0 +1,33 @@
+import type { JobView, Snapshot } from '../snapshot.js';
+import { PATIENT } from './order.js';
+import { EPSILON } from './types.js';
+
+/** How many of its milestones a job cannot meet any more, even if all of it started now. */
+function lateness(j: JobView): number {
+  const last = j.milestonesS.at(-1);
+  if (last === undefined || j.pending.length === 0 || j.ageS > last * PATIENT) return 0;
+  return j.milestonesS.filter((m, i) => j.ageS + j.estimateS > m && j.ageS > (j.startMilestonesS[i] ?? -1))
+    .length;
+}
+
+/**
+ * Jobs that fit in their team's guarantee along with the team's earlier unfinished jobs. Among a team's
+ * own jobs it is not for the late ones: its oldest jobs, all late already in a burst, went ahead of every
+ * job that could still be in time.
+ */
+export function withinGuarantee(s: Snapshot): Set<JobView> {
+  const used = new Map<string, { cpus: number; gpus: number }>();
+  const inside = new Set<JobView>();
+  const ranked = s.jobs.map((job) => ({ job, late: lateness(job) }));
+  ranked.sort((a, b) => a.late - b.late || a.job.order - b.job.order);
+  for (const { job: j } of ranked) {
+    const team = s.teams.find((t) => t.name === j.spec.team);
+    if (team === undefined) continue;
+    const sum = used.get(team.name) ?? { cpus: 0, gpus: 0 };
+    sum.cpus += j.spec.cpus * j.unfinished;
+    sum.gpus += j.spec.gpus * j.unfinished;
+    used.set(team.name, sum);
+    if (sum.cpus <= team.cpus + EPSILON && sum.gpus <= team.gpus + EPSILON) inside.add(j);
+  }
+  return inside;
+}
--- /dev/null
+++ b/packages/planner/src/plan/pool.ts
@@ -0,0 +1,95 @@
+import type { JobSpec } from '@spurbridge/wire';
+import type { Pooled, Queue } from './queue.js';
+import { EPSILON } from './types.js';
+
+/** Beyond this, when something starts is as good as never. */
+const HORIZON_S = 4096;
+
+/** A resource coming free over time, as one pool: what no queue can beat. */
+export class Pool {
+  private readonly atS: number[] = [0];
+  private readonly amount: number[] = [0];
+  /** How much of it, times seconds, the pool has given by each of these times. */
+  private readonly given: number[] = [0];
+
+  constructor(queues: readonly Queue[], of: Pooled) {
+    const releases: { atS: number; amount: number }[] = [];
+    for (const q of queues) q.releases(of, releases);
+    releases.sort((a, b) => a.atS - b.atS);
+    let last = 0;
+    for (const r of releases) {
+      if (r.atS > (this.atS[last] as number)) {
+        const span = r.atS - (this.atS[last] as number);
+        this.given.push((this.given[last] as number) + span * (this.amount[last] as number));
+        this.amount.push((this.amount[last] as number) + r.amount);
+        this.atS.push(r.atS);
+        last += 1;
+      } else this.amount[last] = (this.amount[last] as number) + r.amount;
+    }
+  }
+
+  /** When this much is free together at first, if nothing takes any. */
+  freeAt(amount: number): number {
+    const i = firstAtLeast(this.amount, amount - EPSILON);
+    return this.atS[i] ?? Infinity;
+  }
+
+  /**
+   * When this much can have been started, each part of it held for `runS`: what comes free may be taken
+   * again after that. The bound by work alone let tasks start before anything was free for them, and a
+   * burst was rented for a minute late.
+   */
+  startedAt(amount: number, runS: number): number {
+    const started = (atS: number): number => {
+      let sum = 0;
+      for (let t = atS; t >= 0 && sum < amount; t -= Math.max(runS, 0.5)) sum += this.amountAt(t);
+      return sum;
+    };
+    const wanted = amount - EPSILON;
+    if (started(0) >= wanted) return 0;
+    let late = 1;
+    while (started(late) < wanted) {
+      late *= 2;
+      if (late > HORIZON_S) return Infinity;
+    }
+    let early = late / 2;
+    for (let i = 0; i < 8; i += 1) {
+      const middle = (early + late) / 2;
+      if (started(middle) < wanted) early = middle;
+      else late = middle;
+    }
+    return late;
+  }
+
+  private amountAt(t: number): number {
+    const i = firstAtLeast(this.atS, t + EPSILON);
+    return i === 0 ? 0 : (this.amount[i - 1] as number);
+  }
+
+  /** When the pool can have given this much work at the earliest. */
+  doneAt(work: number): number {
+    const i = firstAtLeast(this.given, work);
+    const from = Math.max(0, i - 1);
+    const amount = this.amount[from] as number;
+    const rest = work - (this.given[from] as number);
+    if (rest <= 0) return this.atS[from] as number;
+    return amount <= 0 ? Infinity : (this.atS[from] as number) + rest / amount;
+  }
+}
+
+/** Index of the first of these rising values that is no less; their number when there is none. */
+function firstAtLeast(values: readonly number[], wanted: number): number {
+  let low = 0;
+  let high = values.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((values[middle] as number) < wanted) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** The resources that bound when a job can be done. */
+export function pooled(s: JobSpec): readonly Pooled[] {
+  return s.gpus > 0 ? ['cpus', 'gpus'] : ['cpus'];
+}
--- /dev/null
+++ b/packages/planner/src/plan/queue.ts
@@ -0,0 +1,148 @@
+import type { MachineView } from '../snapshot.js';
+import { EPSILON } from './types.js';
+
+/** What bounds when a job can be done, beside memory. */
+export type Pooled = 'cpus' | 'gpus';
+
+interface Load {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  endS: number;
+}
+
+export interface Need {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+/**
+ * The queue of one machine as the plan sees it: what occupies it and until when. Tasks start in the
+ * order of the queue, so nothing is placed to start before `lastStartS`. What ends before that is
+ * forgotten, and what is free then is kept summed up.
+ */
+export class Queue {
+  lastStartS = 0;
+  cpus: number;
+  gpus: number;
+  private memoryGb: number;
+  private serviceCpus = 0;
+  private serviceGpus = 0;
+  private serviceMemoryGb = 0;
+
+  private constructor(
+    readonly machine: MachineView,
+    private readonly loads: Load[],
+  ) {
+    this.cpus = machine.type.cpus;
+    this.gpus = machine.type.gpus;
+    this.memoryGb = machine.type.memoryGb;
+  }
+
+  static of(machine: MachineView): Queue {
+    const loads = machine.occupants.map((o) => ({
+      cpus: o.cpus,
+      gpus: o.gpus,
+      memoryGb: o.memoryGb,
+      // What is there is there until proven gone, however late it is.
+      endS: Math.max(o.remainingS, 0.2),
+    }));
+    loads.sort((a, b) => a.endS - b.endS);
+    const queue = new Queue(machine, loads);
+    for (const l of loads) queue.take(l, l.endS);
+    return queue;
+  }
+
+  private take(need: Need, endS: number): void {
+    this.cpus -= need.cpus;
+    this.gpus -= need.gpus;
+    this.memoryGb -= need.memoryGb;
+    if (endS < Infinity) return;
+    this.serviceCpus += need.cpus;
+    this.serviceGpus += need.gpus;
+    this.serviceMemoryGb += need.memoryGb;
+  }
+
+  copy(): Queue {
+    const copy = new Queue(this.machine, [...this.loads]);
+    copy.lastStartS = this.lastStartS;
+    copy.cpus = this.cpus;
+    copy.gpus = this.gpus;
+    copy.memoryGb = this.memoryGb;
+    copy.serviceCpus = this.serviceCpus;
+    copy.serviceGpus = this.serviceGpus;
+    copy.serviceMemoryGb = this.serviceMemoryGb;
+    return copy;
+  }
+
+  /** Whether a task of this size could start at once. */
+  fitsNow(need: Need): boolean {
+    return (
+      this.lastStartS <= 0 &&
+      need.cpus <= this.cpus + EPSILON &&
+      need.memoryGb <= this.memoryGb + EPSILON &&
+      need.gpus <= this.gpus + EPSILON
+    );
+  }
+
+  /** Earliest start of a task of this size, or Infinity. */
+  earliestStart(need: Need): number {
+    const t = this.machine.type;
+    if (need.cpus > t.cpus + EPSILON || need.gpus > t.gpus + EPSILON || need.memoryGb > t.memoryGb + EPSILON)
+      return Infinity;
+    let cpus = this.cpus - need.cpus;
+    let gpus = this.gpus - need.gpus;
+    let memory = this.memoryGb - need.memoryGb;
+    if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return this.lastStartS;
+    for (const l of this.loads) {
+      cpus += l.cpus;
+      gpus += l.gpus;
+      memory += l.memoryGb;
+      if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return l.endS;
+    }
+    return Infinity;
+  }
+
+  add(need: Need, startS: number, endS: number): void {
+    if (startS > this.lastStartS) {
+      this.lastStartS = startS;
+      let over = 0;
+      for (const l of this.loads) {
+        if (l.endS > startS) break;
+        over += 1;
+        this.cpus += l.cpus;
+        this.gpus += l.gpus;
+        this.memoryGb += l.memoryGb;
+      }
+      if (over > 0) this.loads.splice(0, over);
+    }
+    this.take(need, endS);
+    let at = this.loads.length;
+    while (at > 0 && (this.loads[at - 1] as Load).endS > endS) at -= 1;
+    this.loads.splice(at, 0, { cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb, endS });
+  }
+
+  /** What comes free of a resource, and when: what is free at the queue's end counts from there. */
+  releases(of: Pooled, into: { atS: number; amount: number }[]): void {
+    if (this[of] > 0) into.push({ atS: this.lastStartS, amount: this[of] });
+    for (const l of this.loads) if (l.endS < Infinity && l[of] > 0) into.push({ atS: l.endS, amount: l[of] });
+  }
+
+  /** How many tasks of a size fit beside services alone, now and with one more service. */
+  slotsLost(service: Need, task: Need): number {
+    const cpus = this.machine.type.cpus - this.serviceCpus;
+    const gpus = this.machine.type.gpus - this.serviceGpus;
+    const memory = this.machine.type.memoryGb - this.serviceMemoryGb;
+    const slots = (c: number, g: number, m: number): number => {
+      const byGpus = task.gpus > 0 ? g / task.gpus : Infinity;
+      const least = Math.min(c / task.cpus, byGpus, m / Math.max(task.memoryGb, EPSILON));
+      return Math.max(0, Math.floor(least + EPSILON));
+    };
+    return (
+      slots(cpus, gpus, memory) - slots(cpus - service.cpus, gpus - service.gpus, memory - service.memoryGb)
+    );
+  }
+}
+
+/** A resource that is pooled: the scarcer of the two bounds what a job can get. */
