--- a/packages/recovery/src/copy.ts
+++ b/packages/recovery/src/copy.ts
@@ -47,7 +47,8 @@
 
   put(key: string, value: unknown, version: Version): void {
     const known = this.get(key);
-    if (isControlKey(key) || (known !== undefined && known.version > version)) return;
+    // At the same version it is this node's own commit, shown by the watch after it was confirmed.
+    if (isControlKey(key) || (known !== undefined && known.version >= version)) return;
     if (known === undefined) this.countChunk(key, 1);
     if (this.fold(key, value, version)) return;
     this.seen.set(key, { version, text: JSON.stringify(value) });
--- a/packages/recovery/src/gathering.ts
+++ b/packages/recovery/src/gathering.ts
@@ -288,7 +288,11 @@
     );
     const contributions = this.contributions(items);
     const here = standing(contributions.filter((c) => c.id === epoch.id));
-    const others = contributions.filter((c) => c.id !== epoch.id).flatMap((c) => memoriesOf(c.repairs));
+    // What was deleted while its page still stood is not to come back with it.
+    const buried = new Set(items.filter((i) => isTombstone(i.value)).map((i) => i.key));
+    const others = contributions
+      .filter((c) => c.id !== epoch.id)
+      .flatMap((c) => memoriesOf(c.repairs.filter((r) => !buried.has(r.key))));
     const base = {
       own,
       pages: here,
