--- a/packages/planner/src/plan/bounds.ts
+++ b/packages/planner/src/plan/bounds.ts
@@ -7,7 +7,8 @@
 import type { Queue } from './queue.js';
 import { settle } from './settle.js';
 import type { Evaluation, Kind } from './types.js';
-import { EPSILON, allows } from './types.js';
+import { EPSILON } from './epsilon.js';
+import { allows } from './types.js';
 
 /** Counts the job among those that are alike. */
 export function classify(g: Ground, job: JobView): void {
--- a/packages/planner/src/plan/preempt.ts
+++ b/packages/planner/src/plan/preempt.ts
@@ -2,7 +2,8 @@
 import { PRIORITY_ORDER } from '../snapshot.js';
 import type { Ground } from './ground.js';
 import type { Stop } from './types.js';
-import { EPSILON, allows, fetchSeconds } from './types.js';
+import { EPSILON } from './epsilon.js';
+import { allows, fetchSeconds } from './types.js';
 
 /** Stopping a task and starting another in its place takes about this long. */
 const STOP_S = 0.3;
--- a/packages/planner/src/plan/queue.ts
+++ b/packages/planner/src/plan/queue.ts
@@ -1,5 +1,5 @@
 import type { MachineView } from '../snapshot.js';
-import { EPSILON } from './types.js';
+import { EPSILON } from './epsilon.js';
 
 /** What bounds when a job can be done, beside memory. */
 export type Pooled = 'cpus' | 'gpus';
--- a/packages/planner/src/plan/types.ts
+++ b/packages/planner/src/plan/types.ts
@@ -2,8 +2,6 @@
 import type { JobView, MachineView } from '../snapshot.js';
 import type { Queue } from './queue.js';
 
-export const EPSILON = 1e-6;
-
 export interface Start {
   readonly job: JobId;
   readonly task: number;
