One order of need, one way to note a change, one item of a page; what nothing used is gone

Rereading: the rank of keys stood in pages and in writing back, the loop that notes changed keys in the view's watch and in its commit, a page's entry was made an item three times; the fence was handed to a function that has it; settling's state had no reader.

--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -13,7 +13,7 @@
  * (docs/state-loss.md). `clearing`: what no known job explains is stopped, and nothing started before it is gone: it could
  * be any team's. `half`: nothing spoke against the records where half of the machines were heard.
  */
-export type SettlingState = 'asking' | 'clearing' | 'half' | 'settled';
+type SettlingState = 'asking' | 'clearing' | 'half' | 'settled';
 
 const transitions = new Transitions<SettlingState>('settling', {
   asking: ['clearing', 'half', 'settled'],
@@ -54,10 +54,6 @@
     this.sureAt = later(tenure.electedAt, longestMs * (1 + DRIFT) + MARGIN_MS);
   }
 
-  get state(): SettlingState {
-    return this.current;
-  }
-
   /** Whether tasks may be placed, and machines given back. */
   get isOver(): boolean {
     return this.current === 'half' || this.current === 'settled';
--- a/packages/recovery/src/index.ts
+++ b/packages/recovery/src/index.ts
@@ -8,4 +8,5 @@
 export type { Memory } from './merge.js';
 export type { SoundnessState } from './soundness.js';
 export * from './epoch.js';
-export * from './pages.js';
+export { compress, digestOf, encodePages, markerKey, pagesOf, readContributions } from './pages.js';
+export type { Contribution, Marker } from './pages.js';
--- a/packages/recovery/src/overlay.ts
+++ b/packages/recovery/src/overlay.ts
@@ -49,15 +49,11 @@
       return null;
     }
     e.over = version;
-    return { key, value: JSON.parse(e.text) as unknown, version: e.virtual };
+    return itemOf(e);
   }
 
   absentBelow(prefix: string): Item[] {
-    const found: Item[] = [];
-    for (const e of this.entries.values())
-      if (e.key.startsWith(prefix) && e.over === 0)
-        found.push({ key: e.key, value: JSON.parse(e.text) as unknown, version: e.virtual });
-    return found;
+    return [...this.entries.values()].filter((e) => e.key.startsWith(prefix) && e.over === 0).map(itemOf);
   }
 
   /** The store's version for a condition that was read here; null where it cannot hold any more. */
@@ -74,10 +70,13 @@
 
   /** Some entries, those of the lowest rank first. */
   first(most: number, rank: (key: string) => number): Item[] {
-    const keys = [...this.entries.keys()].sort((a, b) => rank(a) - rank(b)).slice(0, most);
-    return keys.flatMap((key) => {
-      const e = this.entries.get(key);
-      return e === undefined ? [] : [{ key, value: JSON.parse(e.text) as unknown, version: e.virtual }];
-    });
+    return [...this.entries.values()]
+      .sort((a, b) => rank(a.key) - rank(b.key))
+      .slice(0, most)
+      .map(itemOf);
   }
 }
+
+function itemOf(e: Entry): Item {
+  return { key: e.key, value: JSON.parse(e.text) as unknown, version: e.virtual };
+}
--- a/packages/recovery/src/pages.ts
+++ b/packages/recovery/src/pages.ts
@@ -42,7 +42,7 @@
 }
 
 /** Most needed first: open jobs, then their tasks, then the rest. */
-function rank(key: string): number {
+export function rank(key: string): number {
   return key.startsWith(JOB_PREFIX) ? 0 : key.startsWith(TASKS_PREFIX) ? 1 : 2;
 }
 
--- a/packages/recovery/src/view.ts
+++ b/packages/recovery/src/view.ts
@@ -31,7 +31,7 @@
 /** Users repeat a submission for so long: until then an id that is not known may yet come. */
 const RETRIES_MS = 60_000;
 export const REFUSED: Refusal = { outcome: 'refused' };
-export const UNKNOWN: Refusal = { outcome: 'unknown' };
+const UNKNOWN: Refusal = { outcome: 'unknown' };
 
 export interface ViewParts {
   readonly raw: StateStore;
@@ -116,14 +116,17 @@
 
   private take(events: readonly WatchEvent[], revision: Revision): void {
     const plain = events.map((e) => plainEvent(e));
-    for (const e of plain) {
-      const key = 'put' in e ? e.put : e.delete;
-      this.overlay.changed(key, e.version);
-      if ('put' in e && !isControlKey(key)) this.auditor.changed(key);
-    }
+    for (const e of plain) this.changed(e, e.version);
     this.copy.watched(plain, revision);
   }
 
+  /** A key was written or deleted: no page stands in for it any more, and it is audited soon. */
+  private changed(c: Change, version: Version): void {
+    const key = keyOf(c);
+    this.overlay.changed(key, version);
+    if ('put' in c && !isControlKey(key)) this.auditor.changed(key);
+  }
+
   /** Asks the store to confirm, without a change, that keys are as they were last seen here. */
   async check(): Promise<void> {
     this.audits += 1;
@@ -155,13 +158,11 @@
 
   /** A transaction without changes; a fence that fails it ends the trust. */
   private async compare(conditions: readonly Condition[]): Promise<CommitOutcome> {
-    const { fence } = this;
-    const outcome = await this.asked(() => this.p.raw.commit([fence, ...conditions], [], 0));
-    return this.fenced(outcome, fence);
+    return this.fenced(await this.asked(() => this.p.raw.commit([this.fence, ...conditions], [], 0)));
   }
 
-  private fenced(outcome: CommitOutcome, fence: Condition): CommitOutcome {
-    if (outcome.outcome !== 'conflict' || !outcome.failed.includes(fence.key)) return outcome;
+  private fenced(outcome: CommitOutcome): CommitOutcome {
+    if (outcome.outcome !== 'conflict' || !outcome.failed.includes(this.fence.key)) return outcome;
     if (this.isCurrent) this.p.doubt('the fence is gone');
     return REFUSED;
   }
@@ -252,8 +253,7 @@
     changes: readonly Change[],
     urgency: Urgency,
   ): Promise<CommitOutcome> {
-    const { fence } = this;
-    const real: Condition[] = [fence];
+    const real: Condition[] = [this.fence];
     const failed: string[] = [];
     for (const c of conditions) {
       const version = this.overlay.real(c);
@@ -271,19 +271,15 @@
       buried.push(c.delete);
       return { put: c.delete, value: TOMBSTONE_VALUE };
     });
-    const outcome = this.fenced(await this.asked(() => this.p.raw.commit(real, written, urgency)), fence);
+    const outcome = this.fenced(await this.asked(() => this.p.raw.commit(real, written, urgency)));
     if (!this.isCurrent) return outcome.outcome === 'committed' ? UNKNOWN : outcome;
     if (outcome.outcome !== 'committed') return outcome;
     this.leftovers = [...this.leftovers, ...buried];
     this.copy.committed(
-      changes.filter((c) => !isControlKey('put' in c ? c.put : c.delete)),
+      changes.filter((c) => !isControlKey(keyOf(c))),
       outcome.revision,
     );
-    for (const c of changes) {
-      const key = 'put' in c ? c.put : c.delete;
-      this.overlay.changed(key, outcome.revision as number as Version);
-      if ('put' in c && !isControlKey(key)) this.auditor.changed(key);
-    }
+    for (const c of changes) this.changed(c, outcome.revision as number as Version);
     return outcome;
   }
 
@@ -304,6 +300,10 @@
   }
 }
 
+function keyOf(c: Change): string {
+  return 'put' in c ? c.put : c.delete;
+}
+
 function plainEvent(e: WatchEvent): WatchEvent {
   return 'put' in e && isTombstone(e.value) ? { delete: e.put, version: e.version } : e;
 }
--- a/packages/recovery/src/write-back.ts
+++ b/packages/recovery/src/write-back.ts
@@ -1,7 +1,7 @@
 import type { Clock, Urgency } from '@spurbridge/net';
 import type { CommitOutcome, StateStore } from '@spurbridge/store';
-import { JOB_PREFIX, TASKS_PREFIX } from '@spurbridge/model';
 import { isControlKey } from './epoch.js';
+import { rank } from './pages.js';
 import type { View } from './view.js';
 
 const WRITE_BACK_MS = 250;
@@ -18,11 +18,6 @@
   readonly view: () => View | null;
 }
 
-/** Most needed first: open jobs, their tasks, then the rest. */
-function rank(key: string): number {
-  return key.startsWith(JOB_PREFIX) ? 0 : key.startsWith(TASKS_PREFIX) ? 1 : 2;
-}
-
 /** Markers and pages first: a tombstone that went before its page would bring the record back. */
 function order(key: string): number {
   return key.endsWith('/done') ? 0 : isControlKey(key) ? 1 : 2;
