After a restart of all, each job waits for the machines that could contradict the records

Cause: a leader that found nothing unexplained on half of the machines (or a hundred) went on to place everything.

Weighed: doubt made durable before anything else helps only where a node had noticed; nodes that end 0.3 s after the loss have not. So `half` goes. `listening` begins with the first list of machines; a job is planned, and a start of it repeated, once every machine that may hold a task of it is heard under our token or proven gone, and a team's limit is short by what machines not heard may use of it. Listed machines that never answer are given up as recorded ones are.

--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -1,4 +1,4 @@
-import type { Machine } from '@spurbridge/model';
+import type { Job, Machine } from '@spurbridge/model';
 import type { Attempt, JobId, MachineId, WorkerCommand, WorkerReport } from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
@@ -16,6 +16,8 @@
     private readonly onReport: (report: WorkerReport) => void,
     /** Whether what is on the machines is known; before, they are told to stop what is cancelled and nothing else. */
     private readonly isSettled: () => boolean,
+    /** Whether no machine that is still to be heard may run the job's tasks: a start repeated may be the second. */
+    private readonly mayStart: (job: Job) => boolean,
   ) {
     cluster.on('due', (id) => {
       this.push(id);
@@ -40,7 +42,7 @@
         // A second stop would end a task that is saving; repeat only what has not taken effect.
         const saving = p.state === 'saving' && p.stop.reason !== 'cancelled';
         if (!saving && p.state !== 'intended') commands.push({ op: 'stop', ...id, graceS: p.stop.graceS });
-      } else if (p.state === 'starting' && job.state === 'active' && this.isSettled()) {
+      } else if (p.state === 'starting' && job.state === 'active' && this.isSettled() && this.mayStart(job)) {
         if (isKeptBack(this.cluster, this.tenure.c.settings, job, p)) continue;
         if (repeat || !m.unanswered.has(startName(job.spec.id, task, p.attempt)))
           commands.push({ op: 'start', ...id });
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -1,3 +1,4 @@
+import type { Job } from '@spurbridge/model';
 import { later } from '@spurbridge/net';
 import type { JobId, JobProgress, WorkerCommand, WorkerReport } from '@spurbridge/wire';
 import { Cluster } from './cluster.js';
@@ -60,7 +61,8 @@
     const takeReport = (r: WorkerReport): void => {
       this.take(r);
     };
-    this.commands = new Commands(tenure, cluster, takeReport, () => this.settling.knowsMachines);
+    const mayPlace = (job: Job): boolean => this.settling.mayPlace(job);
+    this.commands = new Commands(tenure, cluster, takeReport, () => this.settling.knowsMachines, mayPlace);
     this.recorder = new Recorder(
       tenure,
       cluster,
@@ -72,8 +74,9 @@
     this.fleet = new Fleet(tenure, cluster, isSettled);
     this.rooms = c.rooms.map((room) => room(tenure, cluster));
     this.planning = new Planning(tenure, cluster, estimates, {
-      hasJoined: (job) => this.rooms.every((room) => room.hasJoined(job)),
+      hasJoined: (job) => mayPlace(job) && this.rooms.every((room) => room.hasJoined(job)),
       isSettled,
+      unknownUse: (team) => this.settling.unknownUse(team),
       isComingIn: () => this.fleet.isComingIn(c.clock.now()),
       planned: (unmet) => {
         this.fleet.planned(unmet);
--- a/packages/controller/src/planning.ts
+++ b/packages/controller/src/planning.ts
@@ -33,6 +33,8 @@
       readonly hasJoined: (job: Job) => boolean;
       /** Whether what is on the machines is known. */
       readonly isSettled: () => boolean;
+      /** What machines that are still to be heard may use of a team's limit. */
+      readonly unknownUse: (team: string) => { readonly cpus: number; readonly gpus: number };
       /** Whether workers of an earlier leader are still finding this one. */
       readonly isComingIn: () => boolean;
       /** What found no room. */
@@ -71,7 +73,16 @@
   private planOnce(): void {
     const { clock, log, settings } = this.tenure.c;
     const now = clock.now();
-    const result = plan(snapshotOf(this.cluster, this.estimates, settings, now, this.parts.hasJoined));
+    const seen = snapshotOf(this.cluster, this.estimates, settings, now, this.parts.hasJoined);
+    const teams = seen.teams.map((t) => {
+      const unknown = this.parts.unknownUse(t.name);
+      return {
+        ...t,
+        cpusMax: less(t.cpusMax, unknown.cpus),
+        gpusMax: less(t.gpusMax, unknown.gpus),
+      };
+    });
+    const result = plan({ ...seen, teams });
     const gangs = new Map<JobId, Attempt>();
     for (const s of result.starts) {
       const job = this.cluster.jobs.get(s.job);
@@ -99,3 +110,8 @@
     this.parts.planned(result.unmet);
   }
 }
+
+/** A limit less what may be used of it unseen; what has no limit keeps none. */
+function less(limit: number, unseen: number): number {
+  return limit === Infinity ? limit : Math.max(0, limit - unseen);
+}
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -1,7 +1,7 @@
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
 import { Transitions } from '@spurbridge/model';
-import type { Job } from '@spurbridge/model';
+import type { Job, Machine } from '@spurbridge/model';
 import type { MachineId, TaskReport, WorkerReport } from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
@@ -11,24 +11,52 @@
 /**
  * `settled`: what may be on every machine is known. `asking`: records may be missing, so machines are asked first
  * (docs/state-loss.md). `clearing`: what no known job explains is stopped, and nothing started before it is gone: it could
- * be any team's. `half`: nothing spoke against the records where half of the machines were heard.
+ * be any team's. `listening`: nothing speaks against the records so far, and each job waits only for those machines that
+ * could contradict them for it.
  */
-type SettlingState = 'asking' | 'clearing' | 'half' | 'settled';
+type SettlingState = 'asking' | 'clearing' | 'listening' | 'settled';
 
 const transitions = new Transitions<SettlingState>('settling', {
-  asking: ['clearing', 'half', 'settled'],
+  asking: ['clearing', 'listening', 'settled'],
   clearing: ['settled'],
-  half: ['asking', 'settled'],
+  listening: ['asking', 'settled'],
   settled: [],
 });
 
 const LOOK_MS = 100;
-/** Where nothing speaks against the records, this share of the machines is enough, and so are so many of them. */
-const ENOUGH = 0.5;
-const MANY = 100;
 const MARGIN_MS = 1000;
 const DRIFT = 0.001;
 
+interface Place {
+  /** Empty where the machine is known by its id alone. */
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** The machines that are not heard yet, as far as decisions depend on them. */
+interface Unheard {
+  /** What it was computed from: machines known, and the list read last. */
+  readonly machines: number;
+  readonly listedAt: Ms | null;
+  readonly count: number;
+  readonly places: readonly Place[];
+  readonly cpus: number;
+  readonly gpus: number;
+  /** What the records place on them, by team. */
+  readonly recorded: ReadonlyMap<string, { readonly cpus: number; readonly gpus: number }>;
+}
+
+/** Whether an earlier leader may have placed a task of the job on such a machine. */
+function couldHold(p: Place, { spec }: Job): boolean {
+  if (p.type === '') return true;
+  return (
+    (spec.types === null || spec.types.includes(p.type)) &&
+    (spec.zone === null || spec.zone === p.zone) &&
+    (spec.spot || !p.spot)
+  );
+}
+
 /** Asks machines what is on them where the records alone cannot tell. */
 export class Settling {
   private current: SettlingState;
@@ -36,6 +64,7 @@
   private readonly heard = new Map<MachineId, WorkerReport>();
   /** Machines that reported at all. */
   private readonly met = new Set<MachineId>();
+  private unheard: Unheard | null = null;
   private unexplained = 0;
   /** Machines on which something runs that no known job explains. */
   private readonly strays = new Set<MachineId>();
@@ -56,7 +85,26 @@
 
   /** Whether tasks may be placed, and machines given back. */
   get isOver(): boolean {
-    return this.current === 'half' || this.current === 'settled';
+    return this.current === 'listening' || this.current === 'settled';
+  }
+
+  /**
+   * What no machine that could contradict it speaks against: a job may be placed, or a start of it repeated, once every
+   * machine that could run a task of it unknown to the records has been heard under our token, or is proven gone. Half
+   * of all machines was a guess: tasks placed in a time that the state service had lost ran twice.
+   */
+  mayPlace(job: Job): boolean {
+    if (this.current === 'settled') return true;
+    if (this.current !== 'listening') return false;
+    return !this.whatIsUnheard().places.some((p) => couldHold(p, job));
+  }
+
+  /** What machines not heard yet may use of each team's limit beyond what the records place on them. */
+  unknownUse(team: string): { readonly cpus: number; readonly gpus: number } {
+    if (this.current === 'settled') return { cpus: 0, gpus: 0 };
+    const u = this.whatIsUnheard();
+    const own = u.recorded.get(team) ?? { cpus: 0, gpus: 0 };
+    return { cpus: Math.max(0, u.cpus - own.cpus), gpus: Math.max(0, u.gpus - own.gpus) };
   }
 
   /** Whether machines may be told to start, to stop what is not known, and to forget. */
@@ -72,6 +120,7 @@
       'settling',
     );
     this.current = next;
+    this.unheard = null;
     if (this.isOver) this.cluster.emit('plan');
   }
 
@@ -87,6 +136,7 @@
     }
     this.heard.clear();
     this.met.clear();
+    this.unheard = null;
   }
 
   /** A report, by whatever way it came. */
@@ -96,13 +146,16 @@
     // One that came late was passed over by those who read it before.
     if (m?.session !== r.session || m.seq !== r.seq) return;
     const isOurs = r.token === this.tenure.c.leadership.token;
-    if (isOurs) this.heard.set(r.machine, r);
+    if (isOurs) {
+      if (!this.heard.has(r.machine)) this.unheard = null;
+      this.heard.set(r.machine, r);
+    }
     if (isOurs && this.strays.has(r.machine) && !this.hasStrays(r)) this.strays.delete(r.machine);
     if (this.met.has(r.machine)) return;
     this.met.add(r.machine);
     const strange = r.tasks.filter((t) => this.isUnexplained(t)).length;
     this.unexplained += strange;
-    if (strange > 0 && this.current === 'half')
+    if (strange > 0 && this.current === 'listening')
       this.enter('asking', `${r.machine} runs what no record explains`);
   }
 
@@ -131,20 +184,51 @@
     this.tenure.c.trust.settled();
   }
 
+  /** Machines that may run what the records lack: listed as running, recorded, or met; not gone and not heard. */
+  private isAwaited(m: Machine): boolean {
+    if (m.state === 'gone' || this.heard.has(m.id)) return false;
+    return this.cluster.heldCount(m.id) > 0 || m.listedRunning || m.heardAt !== null;
+  }
+
+  private whatIsUnheard(): Unheard {
+    // What a list added since the last look counts at once.
+    if (this.unheard?.machines === this.cluster.machines.size && this.unheard.listedAt === this.listedAt())
+      return this.unheard;
+    const places = new Map<string, Place>();
+    const recorded = new Map<string, { cpus: number; gpus: number }>();
+    let cpus = 0;
+    let gpus = 0;
+    let count = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (!this.isAwaited(m)) continue;
+      count += 1;
+      places.set(`${m.type}/${m.zone}/${m.spot}`, { type: m.type, zone: m.zone, spot: m.spot });
+      const type = this.cluster.type(m.type);
+      // Known by its id alone, it may be as large as any.
+      cpus += type?.cpus ?? Infinity;
+      gpus += type?.gpus ?? Infinity;
+      for (const { job } of this.cluster.heldOn(m.id)) {
+        const sum = recorded.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+        sum.cpus += job.spec.cpus;
+        sum.gpus += job.spec.gpus;
+        recorded.set(job.spec.team, sum);
+      }
+    }
+    const machines = this.cluster.machines.size;
+    const listedAt = this.listedAt();
+    this.unheard = { machines, listedAt, count, places: [...places.values()], cpus, gpus, recorded };
+    return this.unheard;
+  }
+
   private look(now: Ms): void {
     if (this.current === 'clearing') return this.clear();
+    const before = this.unheard?.count ?? 0;
+    this.unheard = null;
+    // A machine that is proven gone lets jobs go on as well as one that is heard.
+    if (this.current === 'listening' && this.whatIsUnheard().count < before) this.cluster.emit('plan');
     const { settings, trust } = this.tenure.c;
     const listedAt = this.listedAt();
-    let expected = 0;
-    let missing = 0;
-    let unmet = 0;
-    for (const m of this.cluster.machines.values()) {
-      if (m.state === 'gone') continue;
-      if (this.cluster.heldCount(m.id) === 0 && !m.listedRunning && m.heardAt === null) continue;
-      expected += 1;
-      if (!this.heard.has(m.id)) missing += 1;
-      if (!this.met.has(m.id)) unmet += 1;
-    }
+    const missing = this.whatIsUnheard().count;
     // A machine that was up shortly before may not be listed yet.
     const lagMs = settings.cloud.listLagS * 2000;
     const isListed = listedAt !== null && listedAt > later(this.tenure.electedAt, lagMs);
@@ -157,14 +241,8 @@
       if (this.strays.size > 0) return this.enter('clearing', why);
       this.enter('settled', why);
       trust.settled();
-    } else if (
-      this.current === 'asking' &&
-      this.unexplained === 0 &&
-      !trust.hasLost &&
-      listedAt !== null &&
-      (unmet <= expected * ENOUGH || this.met.size >= MANY)
-    )
-      this.enter('half', `${unmet} of ${expected} machines have not reported yet`);
+    } else if (this.current === 'asking' && this.unexplained === 0 && !trust.hasLost && listedAt !== null)
+      this.enter('listening', `nothing speaks against the records; ${missing} machines are awaited`);
   }
 
   /** Puts the machines' word in the place of the records', for every machine that was heard. */
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -67,7 +67,7 @@
     }
     const silence = now - Math.max(m.heardAt ?? electedAt, electedAt);
     const heardBefore = m.state === 'ready' || m.state === 'draining';
-    const wasUp = m.state === 'booting' && this.cluster.heldCount(m.id) > 0;
+    const wasUp = m.state === 'booting' && (this.cluster.heldCount(m.id) > 0 || m.listedRunning);
     if (!(heardBefore || wasUp) || silence <= longestReportMs(settings) + 1000) return this.expire(m, now);
     if (m.probes < PROBES && this.probing < Math.max(8, settings.maxSockets * PROBE_SHARE)) {
       m.probes += 1;
@@ -134,7 +134,8 @@
         // It was up under an earlier leader: not hearing it may be this node's own fault.
         const unheardMs = now - m.firstSeen;
         const suspect = unheardMs > this.unheardMs() && (!wave || unheardMs > leaseMs);
-        if (this.cluster.heldCount(m.id) > 0 && suspect) silent.push(m);
+        const wasUp = this.cluster.heldCount(m.id) > 0 || m.listedRunning;
+        if (wasUp && suspect) silent.push(m);
         else this.sweepBooting(m, now);
       } else if (m.state === 'silent') silent.push(m);
       else if (m.state === 'ready') heard += 1;
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -194,11 +194,12 @@
     return { name, zone, clock, store, guard, controller };
   }
 
-  crash(index: number): void {
+  /** Ends a node's process; it is back after `backMs`, with nothing of what it knew. */
+  crash(index: number, backMs = RESTART_MS): void {
     const node = this.nodes[index];
     if (node === undefined || !node.clock.alive) return;
     node.clock.alive = false;
-    this.time.after(RESTART_MS, () => {
+    this.time.after(backMs, () => {
       this.nodes[index] = this.boot(node.name, node.zone);
     });
   }
