Every node holds the workers that report to it and forwards their reports to the leader

Need: one node heard every machine; a takeover threw all workers at it within seconds, and it fell behind its share for half a minute: leases ran out, sockets of all nodes were full, machines that lived were given up as silent.

A node that does not lead passes reports over `back` in batches and the leader's answers to the workers; while no leader answers it keeps leases alive under a grant, counted from the sending of the question that earned it, so never beyond the leader's own horizon. A new leader is told at once what holders know. Workers are spread over nodes by 421, paced. A process whose predecessor of the same node led takes its place without waiting for the lease; ports still taken are tried again.

--- a/packages/controller/src/following.ts
+++ b/packages/controller/src/following.ts
@@ -27,8 +27,12 @@
    * task ran on after it.
    */
   get isFresh(): boolean {
-    const { clock, settings } = this.tenure.c;
-    return clock.now() - this.freshAt <= answerHorizonMs(settings);
+    return this.ageMs <= answerHorizonMs(this.tenure.c.settings);
+  }
+
+  /** How old what is known here is, in milliseconds. */
+  get ageMs(): number {
+    return this.tenure.c.clock.now() - this.freshAt;
   }
 
   /** All records were read, by requests that began then. */
--- /dev/null
+++ b/packages/controller/src/holding.ts
@@ -0,0 +1,239 @@
+import type { Clock, Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { Holder } from '@spurbridge/shares';
+import { Balance, Grant, Pending, Share } from '@spurbridge/shares';
+import type { Leadership } from '@spurbridge/store';
+import type {
+  Forward,
+  ForwardAnswer,
+  MachineId,
+  NodeId,
+  PeerMessage,
+  PeerStatus,
+  Token,
+  WorkerReport,
+} from '@spurbridge/wire';
+import type { ReportAnswer } from './node.js';
+import type { PeerLink } from './peers.js';
+import type { Settings } from './settings.js';
+
+/** The leader's answer is waited for no longer than this: the worker itself waits 4 s. */
+const PATIENCE_MS = 2000;
+const SWEEP_MS = 200;
+/** Forwards of this long go out together. */
+const GATHER_MS = 8;
+/** What fits well into a frame of the link: reports are a few hundred bytes, seldom thousands. */
+const FORWARDS_A_FRAME = 100;
+/** With the link to a leader gone, its grant is used no longer than this: it may live, and should hear the workers. */
+const ALONE_MS = 4000;
+/** A status older than this says nothing. */
+const PEER_MS = 2500;
+/** A node takes workers from others once it has been able to answer them for this long. */
+const SETTLED_MS = 5000;
+
+interface Peer {
+  readonly status: PeerStatus;
+  readonly at: Ms;
+}
+
+export interface HoldingParts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly leadership: Leadership;
+  readonly peers: PeerLink;
+  /** Whether this node leads and answers reports itself. */
+  readonly leads: () => boolean;
+  /** A forwarded report, answered as the leader answers its own. */
+  readonly answer: (r: WorkerReport) => Exclude<ReportAnswer, { code: 421 }> & { readonly grantMs: number };
+  /** A report whose worker was answered already. */
+  readonly hear: (r: WorkerReport, ageMs: number) => void;
+}
+
+/**
+ * The machines whose workers report to this node, whoever leads (docs/shares.md). A node that does not lead passes
+ * their reports to the leader and its answers to them; while no leader answers it keeps the leases alive under the
+ * last one's grant, without orders. It decides nothing about them.
+ */
+export class Holding {
+  readonly share: Share;
+  private readonly grant: Grant;
+  private readonly balance: Balance;
+  private readonly pending: Pending<ForwardAnswer>;
+  private readonly others = new Map<NodeId, Peer>();
+  private due: Forward[] = [];
+  /** Since when the link to the known leader is closed. */
+  private aloneSince: Ms | null = null;
+  /** Since when this node could answer workers without a break. */
+  private ableSince: Ms | null = null;
+  /** The leader that was told of this share whole. */
+  private toldTo = 0 as Token;
+  private highest = 0 as Token;
+
+  constructor(private readonly p: HoldingParts) {
+    this.share = new Share(p.clock, p.settings.workers.leaseS * 1000);
+    this.grant = new Grant(p.clock);
+    this.balance = new Balance(p.clock, p.settings.node);
+    this.pending = new Pending(p.clock, PATIENCE_MS);
+  }
+
+  /** What others are told of this node as a holder. */
+  status(ready: boolean): Pick<PeerStatus, 'takesReports' | 'ready' | 'machines' | 'holds'> {
+    const leads = this.p.leads();
+    return {
+      takesReports: leads,
+      ready: leads && ready,
+      machines: this.share.size,
+      holds: this.isAble() && this.ableSince !== null && this.p.clock.now() - this.ableSince > SETTLED_MS,
+    };
+  }
+
+  /** Whether a worker that reports here gets a real answer. */
+  private isAble(): boolean {
+    return this.p.leads() || this.leaderHere() !== null;
+  }
+
+  async run(): Promise<never> {
+    for (;;) {
+      await this.p.clock.sleep(SWEEP_MS);
+      this.pending.sweep();
+      this.share.sweep();
+      if (!this.isAble()) this.ableSince = null;
+      else this.ableSince ??= this.p.clock.now();
+    }
+  }
+
+  tokenSeen(token: Token): void {
+    if (token > this.highest) this.highest = token;
+  }
+
+  /** The leader, where it takes what others forward and its link is open. */
+  private leaderHere(): NodeId | null {
+    const known = this.p.leadership.leader();
+    if (known === null || known.node === this.p.settings.node) return null;
+    const peer = this.others.get(known.node);
+    if (peer?.status.takesReports !== true || peer.status.token !== known.token) return null;
+    return this.p.peers.isOpen(known.node) ? known.node : null;
+  }
+
+  /** A report of a worker that does not find the leader here. */
+  async report(r: WorkerReport): Promise<ReportAnswer> {
+    const answer = await this.answerFor(r);
+    // A worker that gets anything else goes on to another node.
+    if (answer.code === 200) this.share.reported(r);
+    return answer;
+  }
+
+  private async answerFor(r: WorkerReport): Promise<ReportAnswer> {
+    const leader = this.leaderHere();
+    if (leader !== null) {
+      this.aloneSince = null;
+      const away = this.awayFor(r.machine, false);
+      if (away !== null) return away;
+      const answered = await this.forward(leader, r);
+      if (answered !== null) return answered;
+      return this.underGrant() ?? { code: 503 };
+    }
+    const now = this.p.clock.now();
+    this.aloneSince ??= now;
+    const known = this.p.leadership.leader();
+    // A leader whose link is closed may live all the same: its workers are to find it before long.
+    const isNear = known === null || now < later(this.aloneSince, ALONE_MS);
+    const granted = isNear ? this.underGrant() : null;
+    if (granted !== null) return granted;
+    if (known === null || known.node === this.p.settings.node) return { code: 503 };
+    return { code: 421, leader: known.node };
+  }
+
+  private underGrant(): ReportAnswer | null {
+    const token = this.grant.token(this.highest);
+    return token === null ? null : { code: 200, token, commands: [] };
+  }
+
+  private async forward(leader: NodeId, r: WorkerReport): Promise<ReportAnswer | null> {
+    const { id, askedAt, answer } = this.pending.ask(leader);
+    this.due.push({ id, ageMs: 0, report: r });
+    if (this.due.length === 1)
+      void this.p.clock.sleep(GATHER_MS).then(() => {
+        this.flush(leader);
+      });
+    const a = await answer;
+    if (a === null) return null;
+    this.tokenSeen(a.token);
+    if (a.code !== 200) return { code: 503 };
+    this.grant.extend(a.token, askedAt, a.grantMs);
+    return { code: 200, token: a.token, commands: a.commands };
+  }
+
+  private flush(leader: NodeId): void {
+    const { due } = this;
+    this.due = [];
+    if (!this.send(leader, due)) this.pending.closed(leader);
+  }
+
+  private send(to: NodeId, forwards: readonly Forward[]): boolean {
+    const from = this.p.settings.node;
+    for (let i = 0; i < forwards.length; i += FORWARDS_A_FRAME)
+      if (!this.p.peers.send(to, { from, forwards: forwards.slice(i, i + FORWARDS_A_FRAME) })) return false;
+    return true;
+  }
+
+  /** The answer that sends this worker to a node that holds fewer, or null. */
+  awayFor(machine: MachineId, leads: boolean): { readonly code: 421; readonly leader: NodeId } | null {
+    const now = this.p.clock.now();
+    const others: Holder[] = [];
+    for (const [node, peer] of this.others)
+      if (peer.status.holds && now - peer.at < PEER_MS && this.p.peers.isOpen(node))
+        others.push({ node, machines: peer.status.machines, leads: peer.status.takesReports });
+    const own = { node: this.p.settings.node, machines: this.share.size, leads };
+    const target = this.balance.target(own, others);
+    if (target === null) return null;
+    this.share.moved(machine);
+    return { code: 421, leader: target };
+  }
+
+  /** A report that this node answers as the leader. */
+  lead(r: WorkerReport): ReportAnswer {
+    const away = this.awayFor(r.machine, true);
+    if (away !== null) return away;
+    const answer = this.p.answer(r);
+    if (answer.code === 200) this.share.reported(r);
+    return answer;
+  }
+
+  // --- what others say ---------------------------------------------------------------------------
+
+  linkClosed(node: NodeId): void {
+    this.pending.closed(node);
+  }
+
+  peerSaid(status: PeerStatus): void {
+    this.others.set(status.node, { status, at: this.p.clock.now() });
+    this.tokenSeen(status.token);
+    // A new leader knows what is on the machines at once, without waiting for hundreds of reports.
+    if (!status.ready || status.token <= this.toldTo || this.p.leads()) return;
+    if (!this.p.peers.isOpen(status.node)) return;
+    this.toldTo = status.token;
+    this.send(
+      status.node,
+      this.share.known().map(({ report, ageMs }) => ({ id: 0, ageMs, report })),
+    );
+  }
+
+  take(message: PeerMessage): void {
+    const { from, forwards, answers } = message;
+    if (from === undefined) return;
+    for (const a of answers ?? []) this.pending.answered(a.id, from, a);
+    if (forwards === undefined) return;
+    const given: ForwardAnswer[] = [];
+    for (const f of forwards)
+      if (f.id === 0) this.p.hear(f.report, f.ageMs);
+      else given.push(this.answerTo(f));
+    if (given.length > 0) this.p.peers.send(from, { from: this.p.settings.node, answers: given });
+  }
+
+  private answerTo(f: Forward): ForwardAnswer {
+    const a = this.p.answer(f.report);
+    if (a.code !== 200) return { id: f.id, code: 503, token: 0 as Token, grantMs: 0, commands: [] };
+    return { id: f.id, code: 200, token: a.token, grantMs: a.grantMs, commands: a.commands };
+  }
+}
--- a/packages/controller/src/http.ts
+++ b/packages/controller/src/http.ts
@@ -64,8 +64,8 @@
     if (!isJobId(id)) return send(reply, { code: 404, error: 'no such job' });
     return send(reply, await controller.jobs.cancel(id));
   });
-  app.post(PATHS.report, (request, reply) => {
-    const answer = controller.report(parseReport(request.body));
+  app.post(PATHS.report, async (request, reply) => {
+    const answer = await controller.report(parseReport(request.body));
     switch (answer.code) {
       case 200:
         return reply.code(200).send(formatReportAnswer(answer.token, answer.commands));
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -82,7 +82,7 @@
         this.fleet.planned(unmet);
       },
     });
-    this.sweeper = new Sweeper(tenure, cluster, this.fleet, this.reports, takeReport);
+    this.sweeper = new Sweeper(tenure, cluster, this.fleet, takeReport);
   }
 
   /** Rebuilds from the records, then runs until deposed. */
@@ -93,6 +93,7 @@
     this.ready = true;
     const { jobs, machines } = this.cluster;
     this.tenure.c.log.info({ jobs: jobs.size, machines: machines.size }, 'leader ready');
+    this.tenure.c.ready();
     this.planning.request();
     await Promise.all([
       this.records.watch(revision),
@@ -117,6 +118,21 @@
     this.planning.request();
   }
 
+  /** Whether the records are read. */
+  get isReady(): boolean {
+    return this.ready;
+  }
+
+  /** How old what is known of cancellations is, in milliseconds. */
+  get recordsAgeMs(): number {
+    return this.rooms.every((room) => room.isFresh) ? this.records.ageMs : Infinity;
+  }
+
+  /** A report that its worker was answered for by another node, this long ago. */
+  hear(r: WorkerReport, ageMs: number): void {
+    this.take(r, ageMs);
+  }
+
   /** A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). */
   report(r: WorkerReport): WorkerCommand[] | null {
     if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
@@ -126,8 +142,8 @@
     return commands;
   }
 
-  private take(r: WorkerReport): void {
-    this.reports.take(r);
+  private take(r: WorkerReport, ageMs = 0): void {
+    this.reports.take(r, ageMs);
     if (this.ready) this.settling.take(r);
   }
 
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -14,6 +14,7 @@
 } from '@spurbridge/wire';
 import { JobService } from './jobs.js';
 import { Leader } from './leader.js';
+import { Holding } from './holding.js';
 import type { Log } from './log.js';
 import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
@@ -31,7 +32,11 @@
   readonly clock: Clock;
   readonly wallNow: () => WallMs;
   readonly log: Log;
-  readonly link: (status: () => PeerMessage, receive: (message: PeerMessage) => void) => PeerLink;
+  readonly link: (
+    status: () => PeerMessage,
+    receive: (message: PeerMessage) => void,
+    closed: (node: NodeId) => void,
+  ) => PeerLink;
   /** Tells this process from earlier ones of the same node. */
   readonly incarnation: string;
   /** Concerns of the leader beyond the usual ones. */
@@ -52,6 +57,7 @@
   readonly jobs: JobService;
   readonly leadership: Leadership;
   private readonly peers: PeerLink;
+  private readonly holding: Holding;
   private leader: Leader | null = null;
   private machineTypes: readonly MachineType[] = [];
   private readonly progress = new Map<JobId, JobProgress>();
@@ -79,7 +85,25 @@
       (message) => {
         this.onPeer(message);
       },
+      (node) => {
+        this.holding.linkClosed(node);
+      },
     );
+    this.holding = new Holding({
+      settings,
+      clock,
+      leadership: this.leadership,
+      peers: this.peers,
+      leads: () => this.leads,
+      answer: (r) => {
+        const answer = this.answer(r);
+        return { ...answer, grantMs: answer.code === 200 ? this.grantMs() : 0 };
+      },
+      hear: (r, ageMs) => {
+        this.saidBy(r);
+        if (this.leads) this.leader?.hear(r, ageMs);
+      },
+    });
     this.jobs = new JobService(
       settings,
       store,
@@ -95,7 +119,13 @@
   }
 
   async run(): Promise<void> {
-    await Promise.all([this.parts.store.run(), this.leadership.run(), this.learnTypes(), this.peers.run()]);
+    await Promise.all([
+      this.parts.store.run(),
+      this.leadership.run(),
+      this.learnTypes(),
+      this.peers.run(),
+      this.holding.run(),
+    ]);
   }
 
   private elected(token: Token): void {
@@ -115,6 +145,10 @@
       publish: (progress) => {
         this.peers.broadcast({ progress });
       },
+      direct: () => this.holding.share,
+      ready: () => {
+        this.peers.broadcast(this.status());
+      },
     });
     this.leader = leader;
     log.info({ token }, 'leading');
@@ -162,6 +196,7 @@
         leader: known?.node ?? ('' as NodeId),
         stateOk: this.stateServed(),
         ...this.parts.store.status(),
+        ...this.holding.status(this.leader?.isReady === true),
       },
     };
   }
@@ -175,6 +210,8 @@
     const s = message.status;
     if (s !== undefined) this.parts.store.peerSaid(s);
     if (s !== undefined && s.leader !== '') this.leadership.observe(s.token, s.leader);
+    if (s !== undefined) this.holding.peerSaid(s);
+    this.holding.take(message);
     for (const p of message.progress ?? []) {
       this.progress.delete(p.job as JobId);
       this.progress.set(p.job as JobId, p);
@@ -193,25 +230,43 @@
     return this.machineTypes.length > 0 && (this.stateServed() || !this.peers.someoneServed());
   }
 
-  report(r: WorkerReport): ReportAnswer {
+  private get leads(): boolean {
+    const { state } = this.leadership;
+    return this.leader !== null && (state === 'leading' || state === 'holding');
+  }
+
+  private saidBy(r: WorkerReport): void {
     this.parts.store.workerSaid(r.machine, r.token);
     this.leadership.observe(r.token, null);
+    this.holding.tokenSeen(r.token);
+  }
+
+  /** So long others may still answer in this leader's stead: what is left of its own horizon, in milliseconds. */
+  private grantMs(): number {
+    const agesMs = Math.max(this.leadership.sinceConfirmed(), this.leader?.recordsAgeMs ?? Infinity);
+    return Math.max(0, answerHorizonMs(this.parts.settings) - agesMs);
+  }
+
+  /** A report, by this node's own or another node's connection, answered as the leader. */
+  private answer(r: WorkerReport): Exclude<ReportAnswer, { code: 421 }> {
+    this.saidBy(r);
     const { leader } = this;
-    const state = this.leadership.state;
-    if (leader !== null && (state === 'leading' || state === 'holding')) {
-      // Past its lease a leader may still keep the workers' leases alive, but only up to a horizon
-      // that a new leader waits for before it takes a silent machine's tasks for gone.
-      if (
-        !this.leadership.holdsSurely() &&
-        this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
-      )
-        return { code: 503 };
-      const commands = leader.report(r);
-      if (commands === null) return { code: 503 };
-      return { code: 200, token: this.leadership.token, commands };
-    }
-    const known = this.leadership.leader();
-    if (known === null || known.node === this.parts.settings.node) return { code: 503 };
-    return { code: 421, leader: known.node };
+    if (leader === null || !this.leads) return { code: 503 };
+    // Past its lease a leader may still keep the workers' leases alive, but only up to a horizon
+    // that a new leader waits for before it takes a silent machine's tasks for gone.
+    if (
+      !this.leadership.holdsSurely() &&
+      this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
+    )
+      return { code: 503 };
+    const commands = leader.report(r);
+    if (commands === null) return { code: 503 };
+    return { code: 200, token: this.leadership.token, commands };
+  }
+
+  /** A worker's report to this node. */
+  report(r: WorkerReport): ReportAnswer | Promise<ReportAnswer> {
+    this.saidBy(r);
+    return this.leads ? this.holding.lead(r) : this.holding.report(r);
   }
 }
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -8,6 +8,7 @@
 const SILENT_MS = 4000;
 const RETRY_MS = 1000;
 const CONNECT_MS = 2000;
+const PORT_RETRY_MS = 200;
 const MOST_QUEUED_BYTES = 256 * 1024;
 
 /** idle -> connecting -> open -> idle; one outgoing connection per peer, receiving on incoming ones. */
@@ -22,20 +23,32 @@
     private readonly address: string,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly closed: (node: NodeId) => void,
   ) {}
 
+  get isOpen(): boolean {
+    return this.current === 'open';
+  }
+
   private enter(next: LinkState): void {
     if (next === this.current) return;
     if (next === 'open' || this.current === 'open')
       this.log.info({ peer: this.node, from: this.current, to: next }, 'peer link');
+    const wasOpen = this.current === 'open';
     this.current = next;
+    if (wasOpen) this.closed(this.node);
   }
 
-  send(message: PeerMessage): void {
-    if (this.current !== 'open' || this.socket === null) return;
+  /** False: certainly not sent. */
+  send(message: PeerMessage): boolean {
+    if (this.current !== 'open' || this.socket === null) return false;
     // A peer that does not read is dropped rather than buffered for.
-    if (this.socket.writableLength > MOST_QUEUED_BYTES) this.socket.destroy();
-    else this.socket.write(encodePeerMessage(message));
+    if (this.socket.writableLength > MOST_QUEUED_BYTES) {
+      this.socket.destroy();
+      return false;
+    }
+    this.socket.write(encodePeerMessage(message));
+    return true;
   }
 
   async run(greeting: () => PeerMessage): Promise<never> {
@@ -84,6 +97,10 @@
 /** What the controller needs of the link; the stand-in of `testkit` implements it too. */
 export interface PeerLink {
   broadcast(message: PeerMessage): void;
+  /** False: certainly not sent. */
+  send(to: NodeId, message: PeerMessage): boolean;
+  /** Whether what is sent to the node now may arrive there. */
+  isOpen(to: NodeId): boolean;
   /** Whether a peer that was lately heard is served by the state service. */
   someoneServed(): boolean;
   run(): Promise<void>;
@@ -101,8 +118,18 @@
     private readonly status: () => PeerMessage,
     private readonly receive: (message: PeerMessage) => void,
     private readonly listen: string,
+    /** Told when a link that was open has ended. */
+    closed: (node: NodeId) => void,
   ) {
-    this.links = peers.map((p) => new Link(p.node, p.address, clock, log));
+    this.links = peers.map((p) => new Link(p.node, p.address, clock, log, closed));
+  }
+
+  send(to: NodeId, message: PeerMessage): boolean {
+    return this.links.find((l) => l.node === to)?.send(message) === true;
+  }
+
+  isOpen(to: NodeId): boolean {
+    return this.links.some((l) => l.node === to && l.isOpen);
   }
 
   broadcast(message: PeerMessage): void {
@@ -123,7 +150,15 @@
         socket.destroy();
       });
     });
-    server.listen(Number(this.listen.slice(colon + 1)), this.listen.slice(0, colon));
+    const begin = (): void => {
+      server.listen(Number(this.listen.slice(colon + 1)), this.listen.slice(0, colon));
+    };
+    // The process before this one may still hold the port for a moment.
+    server.on('error', (e) => {
+      this.log.info({ listen: this.listen, error: String(e) }, 'cannot listen yet');
+      setTimeout(begin, PORT_RETRY_MS);
+    });
+    begin();
     for (const link of this.links)
       link.run(this.status).catch((e: unknown) => {
         this.log.error({ error: String(e) }, 'peer link failed');
--- a/packages/controller/src/records.ts
+++ b/packages/controller/src/records.ts
@@ -21,6 +21,11 @@
     return this.following.isFresh;
   }
 
+  /** How old what is known of them is, in milliseconds. */
+  get ageMs(): number {
+    return this.following.ageMs;
+  }
+
   /** The revision to watch from, or null when deposed meanwhile. */
   async load(): Promise<Revision | null> {
     const { clock, store } = this.tenure.c;
--- a/packages/controller/src/reports.ts
+++ b/packages/controller/src/reports.ts
@@ -19,17 +19,17 @@
 
 /** Takes in what workers report of themselves and their tasks. */
 export class Reports {
-  /** Arrival of the newest report of any worker on its own account. */
-  lastAt: Ms | null = null;
-
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
     private readonly estimates: Estimates,
   ) {}
 
-  /** A worker's report, from a beat or the answer of a direct call. An old one is passed over. */
-  take(r: WorkerReport): void {
+  /**
+   * A worker's report, from a beat or the answer of a direct call; `ageMs` where another node has kept it for so long.
+   * An old one is passed over.
+   */
+  take(r: WorkerReport, ageMs = 0): void {
     const { clock, log } = this.tenure.c;
     const m = this.cluster.describeMachine(r.machine, r.type, r.zone, r.spot);
     const now = clock.now();
@@ -43,7 +43,7 @@
     m.seq = r.seq;
     m.token = r.token;
     m.address = r.address;
-    m.heardAt = now;
+    m.heardAt = later(now, -ageMs);
     m.probes = 0;
     m.unansweredProbes = 0;
     if (m.state === 'booting') {
@@ -64,7 +64,6 @@
   /** Called when a report is answered with our token, with or without orders. */
   answered(r: WorkerReport): void {
     const { clock, leadership } = this.tenure.c;
-    this.lastAt = clock.now();
     const m = this.cluster.machines.get(r.machine);
     if (m === undefined) return;
     const now = clock.now();
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -3,7 +3,6 @@
 import { later } from '@spurbridge/net';
 import type { Cluster } from './cluster.js';
 import type { Fleet } from './fleet.js';
-import type { Reports } from './reports.js';
 import { SAVE_MARGIN_S } from './reports.js';
 import { longestReportMs, silentAfterMs } from './settings.js';
 import type { Tenure } from './tenure.js';
@@ -40,7 +39,6 @@
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
-    private readonly reports: Reports,
     /** Takes in the report that a machine answers with. */
     private readonly onReport: (report: WorkerReport) => void,
   ) {}
@@ -144,7 +142,7 @@
       else if (m.state === 'draining' && m.goneBy === null) draining.push(m);
     }
     if (draining.length > 0) this.fleet.moveReplicas(draining, now);
-    if (this.isDeaf(heard, now)) return this.resign('no worker is heard: the fault is here');
+    if (this.isDeaf(now)) return this.resign('no worker is heard: the fault is here');
     const mass = silent.length >= 3 && silent.length >= (silent.length + heard) * MASS_SHARE;
     if (!mass) this.massSince = null;
     else {
@@ -166,14 +164,18 @@
   }
 
   /**
-   * Whether this node hears none of many workers. Each reports on its own, so that hundreds of them fall
+   * Whether this node hears none of the many workers that report to it: it could tell nobody to start anything, though
+   * others pass on what their workers say. Each reports on its own, so that hundreds of them fall
    * silent within a second or two only for a fault of this node's: it need not wait for each to be late.
    */
-  private isDeaf(heard: number, now: Ms): boolean {
-    const { settings, leadership } = this.tenure.c;
-    const expectedMs = longestReportMs(settings) / Math.max(1, heard);
-    const quietMs = now - (this.reports.lastAt ?? now);
-    const deaf = heard >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
+  private isDeaf(now: Ms): boolean {
+    const { settings, leadership, direct } = this.tenure.c;
+    const { size, lastAt } = direct();
+    const expectedMs = longestReportMs(settings) / Math.max(1, size);
+    const quietMs = now - Math.max(lastAt ?? now, this.tenure.electedAt);
+    // Those that found it before it led may have gone elsewhere since.
+    const isNew = now - this.tenure.electedAt < longestReportMs(settings) + DEAF_MS;
+    const deaf = !isNew && size >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
     // Twice in a row: what came while this process was held up is read between two sweeps.
     const again = deaf && this.wasDeaf;
     this.wasDeaf = deaf;
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -33,6 +33,10 @@
   readonly log: Log;
   readonly types: () => readonly MachineType[];
   readonly publish: (progress: readonly JobProgress[]) => void;
+  /** Machines whose workers report to this node itself, and when any of them did, the last time. */
+  readonly direct: () => { readonly size: number; readonly lastAt: Ms | null };
+  /** The records are read: holders may tell what they know of their machines. */
+  readonly ready: () => void;
   /** Concerns beyond the usual ones, switched on by the program that was started. */
   readonly rooms: readonly RoomFactory[];
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,6 +15,8 @@
 import manifest from '../package.json' with { type: 'json' };
 import { SettingsError, readSettings } from './settings.js';
 
+const PORT_RETRY_MS = 200;
+
 function levelFrom(variable: string | undefined): string {
   return variable !== undefined && ['error', 'info', 'debug'].includes(variable) ? variable : 'info';
 }
@@ -54,22 +56,34 @@
     clock: steadyClock,
     wallNow: () => Date.now() as WallMs,
     log,
-    link: (status, receive) => new Peers(settings.peers, steadyClock, log, status, receive, settings.back),
+    link: (status, receive, closed) =>
+      new Peers(settings.peers, steadyClock, log, status, receive, settings.back, closed),
     incarnation: randomBytes(8).toString('hex'),
     rooms,
   });
   const app = buildServer(controller, log);
   addition?.routes?.(app, { settings, store, types: () => controller.types });
-  const colon = settings.listen.lastIndexOf(':');
-  await app.listen({
-    host: settings.listen.slice(0, colon),
-    port: Number(settings.listen.slice(colon + 1)),
-  });
+  await listen(app, settings.listen, log);
   log.info({ listen: settings.listen, back: settings.back, zone: settings.zone }, 'serving');
   addition?.beside?.(flags, { settings, store, log });
   await controller.run();
 }
 
+/** Listens, as soon as the process before this one has let go of the port. */
+async function listen(app: FastifyInstance, address: string, log: Log): Promise<void> {
+  const colon = address.lastIndexOf(':');
+  for (;;) {
+    try {
+      await app.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+      return;
+    } catch (e) {
+      if ((e as { code?: unknown }).code !== 'EADDRINUSE') throw e;
+      log.info({ listen: address }, 'port still taken');
+      await steadyClock.sleep(PORT_RETRY_MS);
+    }
+  }
+}
+
 /** What a program that was started adds to the usual one. */
 export interface Addition {
   /** Adds its own flags. */
--- /dev/null
+++ b/packages/shares/src/balance.ts
@@ -0,0 +1,89 @@
+import type { Clock, Ms } from '@spurbridge/net';
+import { Transitions } from '@spurbridge/model';
+import type { NodeId } from '@spurbridge/wire';
+
+/** A node that could hold machines, as it said itself. */
+export interface Holder {
+  readonly node: NodeId;
+  readonly machines: number;
+  /** The leader has plans to make beside: its part is smaller. */
+  readonly leads: boolean;
+}
+
+/** `even`: nothing is moved. `shedding`: machines go to whoever has least, until this node is near its part. */
+type BalanceState = 'even' | 'shedding';
+
+const transitions = new Transitions<BalanceState>('balance', { even: ['shedding'], shedding: ['even'] });
+
+const LEADER_PART = 0.5;
+/** Shedding begins this far over the part, and ends near it: what one node gives away another does not give back. */
+const BEGIN = 1.25;
+const END = 1.05;
+/** Fewer than this are not worth a move. */
+const LEAST = 8;
+/** Moves a second at most: each is a new connection at the other end. */
+const MOVES_PER_S = 25;
+
+/** Machines that each node should hold; their sum is what is held altogether. */
+export function parts(holders: readonly Holder[]): Map<NodeId, number> {
+  const weight = (h: Holder): number => (h.leads ? LEADER_PART : 1);
+  const all = holders.reduce((sum, h) => sum + h.machines, 0);
+  const weights = holders.reduce((sum, h) => sum + weight(h), 0);
+  return new Map(holders.map((h) => [h.node, weights === 0 ? 0 : (all * weight(h)) / weights]));
+}
+
+/** Decides for one node, at each report, whether its worker goes elsewhere. */
+export class Balance {
+  private current: BalanceState = 'even';
+  private nextAt = 0 as Ms;
+  /** Sent there since the node last said how many it holds. */
+  private readonly sent = new Map<NodeId, { readonly said: number; count: number }>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly self: NodeId,
+  ) {}
+
+  get state(): BalanceState {
+    return this.current;
+  }
+
+  /** The only function that changes the state. */
+  private enter(next: BalanceState): void {
+    if (next === this.current) return;
+    transitions.check(this.current, next);
+    this.current = next;
+  }
+
+  private room(h: Holder, part: number): number {
+    const sent = this.sent.get(h.node);
+    const underWay = sent !== undefined && sent.said === h.machines ? sent.count : 0;
+    return part - h.machines - underWay;
+  }
+
+  /** Where the worker that reports now should go, or null: it stays. */
+  target(own: Holder, others: readonly Holder[]): NodeId | null {
+    const now = this.clock.now();
+    if (now < this.nextAt) return null;
+    const part = parts([own, ...others]);
+    const mine = part.get(this.self) ?? 0;
+    if (this.current === 'even' && own.machines > mine * BEGIN + LEAST) this.enter('shedding');
+    if (this.current === 'shedding' && own.machines <= mine * END) this.enter('even');
+    if (this.current === 'even') return null;
+    let best: Holder | null = null;
+    let most = 0;
+    for (const h of others) {
+      const room = this.room(h, part.get(h.node) ?? 0);
+      if (room > most) {
+        most = room;
+        best = h;
+      }
+    }
+    if (best === null) return null;
+    const before = this.sent.get(best.node);
+    const count = before !== undefined && before.said === best.machines ? before.count + 1 : 1;
+    this.sent.set(best.node, { said: best.machines, count });
+    this.nextAt = (now + 1000 / MOVES_PER_S) as Ms;
+    return best.node;
+  }
+}
--- /dev/null
+++ b/packages/shares/src/index.ts
@@ -0,0 +1,4 @@
+export * from './grant.js';
+export * from './balance.js';
+export * from './share.js';
+export * from './pending.js';
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -207,9 +207,12 @@
       return;
     }
     const value = read.asObject(found.item.value, LEADER_KEY);
-    if (value['incarnation'] === this.incarnation && value['node'] === this.self) {
+    if (value['node'] === this.self) {
       // Our own commit, whose answer was lost or whose leadership we gave up: let it run out.
-      await this.clock.sleep(RETRY_MS);
+      if (value['incarnation'] === this.incarnation) await this.clock.sleep(RETRY_MS);
+      // The process before this one led, and that this one holds its ports proves it gone: nobody believes in that
+      // lease any more, so it need not run out.
+      else await this.campaign(found.item.version);
       return;
     }
     this.observe(this.store.tokenOf(found.item.version), read.str(value, 'node') as NodeId);
@@ -221,8 +224,8 @@
     if (watched.outcome !== 'events') await this.clock.sleep(RETRY_MS);
   }
 
-  private async campaign(): Promise<void> {
-    this.enter('campaigning', 'nobody leads');
+  private async campaign(instead: Version = ABSENT): Promise<void> {
+    this.enter('campaigning', instead === ABSENT ? 'nobody leads' : 'the process before this one led');
     const { era } = this.store;
     const sentAt = this.clock.now();
     const granted = await this.store.grantLease(LEASE_TTL_MS);
@@ -232,7 +235,7 @@
       return;
     }
     const committed = await this.store.commit(
-      [{ key: LEADER_KEY, version: ABSENT }],
+      [{ key: LEADER_KEY, version: instead }],
       [
         {
           put: LEADER_KEY,
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -10,7 +10,7 @@
     private readonly random: (below: number) => number,
   ) {}
 
-  private static pair(a: string, b: string): string {
+  static pair(a: string, b: string): string {
     return a < b ? `${a}|${b}` : `${b}|${a}`;
   }
 
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -1,4 +1,6 @@
 import protobuf from 'protobufjs/light.js';
+import type { Forward, ForwardAnswer } from './forward.js';
+import { FORWARD_TYPES, answerFromWire, answerToWire, forwardFromWire, forwardToWire } from './forward.js';
 import type { NodeId, Token } from './ids.js';
 
 /** What controllers tell each other on the `back` link: length-delimited protobuf messages. */
@@ -19,6 +21,14 @@
   readonly trusted: boolean;
   /** Whether it has followed the epoch without a gap (docs/state-loss.md). */
   readonly continuous: boolean;
+  /** Whether it leads and answers reports that others forward; a node of an earlier version does not (docs/shares.md). */
+  readonly takesReports: boolean;
+  /** Whether it leads and has read the records: holders tell it what they know of their machines. */
+  readonly ready: boolean;
+  /** Machines whose workers report to it. */
+  readonly machines: number;
+  /** Whether workers may be sent to it: it can answer them, and has long been able to. */
+  readonly holds: boolean;
 }
 
 export interface JobProgress {
@@ -30,6 +40,10 @@
 export interface PeerMessage {
   readonly status?: PeerStatus;
   readonly progress?: readonly JobProgress[];
+  /** Who sends forwards or answers. */
+  readonly from?: NodeId;
+  readonly forwards?: readonly Forward[];
+  readonly answers?: readonly ForwardAnswer[];
 }
 
 const { Type, Field, Root } = protobuf;
@@ -42,20 +56,35 @@
   .add(new Field('revision', 6, 'double'))
   .add(new Field('trusted', 7, 'bool'))
   .add(new Field('continuous', 8, 'bool'))
-  .add(new Field('epochId', 9, 'string'));
+  .add(new Field('epochId', 9, 'string'))
+  .add(new Field('takesReports', 10, 'bool'))
+  .add(new Field('ready', 11, 'bool'))
+  .add(new Field('machines', 12, 'uint32'))
+  .add(new Field('holds', 13, 'bool'));
 const Progress = new Type('Progress')
   .add(new Field('job', 1, 'string'))
   .add(new Field('done', 2, 'uint32'))
   .add(new Field('running', 3, 'uint32'));
 const Message = new Type('Message')
   .add(new Field('status', 1, 'Status'))
-  .add(new Field('progress', 2, 'Progress', 'repeated'));
-new Root().define('spurbridge').add(Status).add(Progress).add(Message);
+  .add(new Field('progress', 2, 'Progress', 'repeated'))
+  .add(new Field('from', 3, 'string'))
+  .add(new Field('forwards', 4, 'Forward', 'repeated'))
+  .add(new Field('answers', 5, 'ForwardAnswer', 'repeated'));
+const namespace = new Root().define('spurbridge').add(Status).add(Progress).add(Message);
+for (const type of FORWARD_TYPES) namespace.add(type);
 
 export const MAX_FRAME_BYTES = 1 << 20;
 
 export function encodePeerMessage(m: PeerMessage): Uint8Array {
-  return Message.encodeDelimited(Message.create(m as Record<string, unknown>)).finish();
+  const { forwards, answers, ...rest } = m;
+  return Message.encodeDelimited(
+    Message.create({
+      ...rest,
+      ...(forwards === undefined ? {} : { forwards: forwards.map(forwardToWire) }),
+      ...(answers === undefined ? {} : { answers: answers.map(answerToWire) }),
+    }),
+  ).finish();
 }
 
 /** Decodes the first whole frame of `bytes`; null while more bytes are needed. */
@@ -72,13 +101,25 @@
   }
   if (length > MAX_FRAME_BYTES) throw new Error('peer frame is too long');
   if (bytes.length < at + length) return null;
-  const decoded = Message.decode(bytes.subarray(at, at + length));
-  const plain = Message.toObject(decoded, { defaults: true }) as {
-    status: PeerStatus | null;
-    progress: JobProgress[];
-  };
-  return {
-    message: { ...(plain.status === null ? {} : { status: plain.status }), progress: plain.progress },
-    size: at + length,
+  const decoded = Message.decode(bytes.subarray(at, at + length)) as unknown as Decoded;
+  const { status, progress, from, forwards, answers } = decoded;
+  // Fields that were not sent are read as their type's default.
+  const message: PeerMessage = {
+    ...(status === null ? {} : { status: Status.toObject(status, { defaults: true }) as PeerStatus }),
+    progress: progress.map((p) => ({ job: p.job, done: p.done, running: p.running })),
+    ...(from === '' ? {} : { from: from as NodeId }),
+    ...(forwards.length === 0
+      ? {}
+      : { forwards: forwards.map(forwardFromWire).filter((f): f is Forward => f !== null) }),
+    ...(answers.length === 0 ? {} : { answers: answers.map(answerFromWire) }),
   };
+  return { message, size: at + length };
+}
+
+interface Decoded {
+  readonly status: protobuf.Message | null;
+  readonly progress: readonly JobProgress[];
+  readonly from: string;
+  readonly forwards: readonly Parameters<typeof forwardFromWire>[0][];
+  readonly answers: readonly Parameters<typeof answerFromWire>[0][];
 }
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -126,6 +126,10 @@
       revision: fc.nat(),
       trusted: fc.boolean(),
       continuous: fc.boolean(),
+      takesReports: fc.boolean(),
+      ready: fc.boolean(),
+      machines: fc.nat(),
+      holds: fc.boolean(),
     }),
     progress: fc.array(fc.record({ job: jobId, done: fc.nat(), running: fc.nat() }), { maxLength: 30 }),
   });
