--- a/packages/measure/src/regress.ts
+++ b/packages/measure/src/regress.ts
@@ -1,7 +1,9 @@
 import { spawnSync } from 'node:child_process';
 import { readFileSync, readdirSync } from 'node:fs';
 import { basename, join } from 'node:path';
-import { Argument, Command } from 'commander';
+import { Argument, Command, InvalidArgumentError } from 'commander';
+import { playOwn } from './own/index.js';
+import { SiteError } from './own/variant.js';
 
 /** The bench and its sites are the operators' own: they are named by variables, never here. */
 const BENCH = 'SPURBRIDGE_BENCH';
@@ -20,7 +22,7 @@
   readonly rulesBroken: readonly string[];
 }
 
-type Mode = 'quick' | 'fleet' | 'full';
+type Mode = 'quick' | 'fleet' | 'full' | 'own';
 
 /** Entries of the bench's journal that hold a site's score, oldest first; others are passed over. */
 export function readJournal(folder: string): Entry[] {
@@ -85,7 +87,7 @@
   return spawnSync(bench, args, { stdio: 'inherit' }).status === 0;
 }
 
-function regress(mode: Mode, why: string): number {
+function regress(mode: Exclude<Mode, 'own'>, why: string): number {
   const bench = process.env[BENCH] ?? '';
   const usual = listed(SITES);
   const fleet = listed(FLEET);
@@ -105,12 +107,74 @@
   return ran && hunted && good && rows.length === sites.length ? 0 : 1;
 }
 
+interface Flags {
+  readonly why: string;
+  readonly factor: number;
+  readonly restart: number;
+  readonly nodes?: number;
+  readonly otherZones?: boolean;
+  readonly days?: string[];
+  readonly times: number;
+  readonly jobs?: number;
+}
+
+async function own(f: Flags): Promise<number> {
+  const bench = process.env[BENCH] ?? '';
+  const sites = listed(FLEET);
+  if (bench === '' || sites.length === 0) {
+    process.stderr.write(
+      `regress: ${bench === '' ? BENCH : FLEET} is not set; docs/regression.md says what it names\n`,
+    );
+    return 2;
+  }
+  const good = await playOwn({
+    bench,
+    sites,
+    factor: f.factor,
+    restartS: f.restart,
+    nodes: f.nodes ?? null,
+    renamesZones: f.otherZones === true,
+    days: f.days ?? [],
+    times: f.times,
+    jobs: f.jobs ?? null,
+    why: f.why,
+    say: (line) => process.stdout.write(`${line}\n`),
+  });
+  return good ? 0 : 1;
+}
+
+function positive(text: string): number {
+  const n = Number(text);
+  if (!Number.isFinite(n) || n <= 0) throw new InvalidArgumentError('must be a number above 0');
+  return n;
+}
+
+function whole(text: string): number {
+  const n = positive(text);
+  if (!Number.isInteger(n)) throw new InvalidArgumentError('must be a whole number above 0');
+  return n;
+}
+
 if (basename(process.argv[1] ?? '') === 'regress.ts')
   new Command('regress')
     .description("Scores the operators' sites and holds each figure against the last one in journal/.")
-    .addArgument(new Argument('<mode>', 'which sites, and how').choices(['quick', 'fleet', 'full']))
+    .addArgument(new Argument('<mode>', 'which sites, and how').choices(['quick', 'fleet', 'full', 'own']))
     .option('--why <text>', 'one sentence for the journal', 'Regression')
-    .action((mode: Mode, options: { why: string }) => {
-      process.exitCode = regress(mode, options.why);
+    .option('--factor <number>', 'own: machines, limits and load times this', positive, 1.5)
+    .option('--restart <seconds>', 'own: a process that ended is back after this', positive, 0.2)
+    .option('--nodes <count>', 'own: controllers, instead of as many as the site has', whole)
+    .option('--other-zones', 'own: zones with other names')
+    .option('--days <names...>', 'own: only these days')
+    .option('--times <count>', 'own: each day so often', whole, 1)
+    .option('--jobs <count>', 'own: days at once', whole)
+    .action(async (mode: Mode, flags: Flags) => {
+      process.exitCode = mode === 'own' ? await own(flags) : regress(mode, flags.why);
     })
-    .parse();
+    .parseAsync()
+    .catch((e: unknown) => {
+      const isExpected = e instanceof SiteError;
+      process.stderr.write(
+        `regress: ${isExpected ? e.message : e instanceof Error ? (e.stack ?? '') : String(e)}\n`,
+      );
+      process.exitCode = isExpected ? 2 : 1;
+    });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -5,3 +5,4 @@
 export * from './record.js';
 export * from './admission.js';
 export { Transitions } from './transition.js';
+export * from './served.js';
--- /dev/null
+++ b/packages/model/src/served.ts
@@ -0,0 +1,95 @@
+import type { JobSpec } from '@spurbridge/wire';
+
+/** Under this share of what was asked and could be served, a class or a team counts as not served. */
+export const HALF = 0.5;
+/** Replicas are asked for from so many seconds after their submission on. */
+export const REPLICAS_FROM_S = 20;
+/** A job may wait this long for its first task before it counts as not started, in seconds. */
+export const START_S = 60;
+
+/** Age in seconds at which a job that ends by itself could have ended: what is younger counts neither way. */
+export function couldEndS(spec: JobSpec): number {
+  return spec.deadlineS === null ? START_S + 4 * spec.estimateS : 1.5 * spec.deadlineS;
+}
+
+/** Replicas that can run at the same time: bound to one zone and spread over zones, only half of them. */
+export function runnable(spec: JobSpec): number {
+  return spec.zone !== null && spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks;
+}
+
+/** What was asked of the service by a class or a team, and what was done of it. */
+export interface Asked {
+  /** Jobs that end by themselves and ended or could have; jobs that started or could have. */
+  couldEnd: number;
+  ended: number;
+  /** Of those that ended or could have and have a deadline: how many kept it. */
+  timed: number;
+  inTime: number;
+  couldStart: number;
+  started: number;
+  /** Replica seconds asked for and run. */
+  wantedS: number;
+  ranS: number;
+}
+
+export function nothingAsked(): Asked {
+  return { couldEnd: 0, ended: 0, timed: 0, inTime: 0, couldStart: 0, started: 0, wantedS: 0, ranS: 0 };
+}
+
+export type Reading = 'ended' | 'started' | 'replicas' | 'in time';
+
+export interface Served {
+  readonly reading: Reading;
+  readonly share: number;
+  /** Share over half; below zero the day has failed. */
+  readonly margin: number;
+  /** Whether it is only said: operators may mean it, the definition does not. */
+  readonly isWarning: boolean;
+}
+
+/** The readings of one class or team: one definition for the log, the checker and the regression. */
+export function served(a: Asked): Served[] {
+  const rows: readonly (readonly [Reading, number, number])[] = [
+    ['ended', a.ended, a.couldEnd],
+    ['started', a.started, a.couldStart],
+    ['replicas', a.ranS, a.wantedS],
+    ['in time', a.inTime, a.timed],
+  ];
+  return rows
+    .filter(([, , of]) => of > 0)
+    .map(([reading, did, of]) => {
+      const share = did / of;
+      return { reading, share, margin: share - HALF, isWarning: reading === 'in time' };
+    });
+}
+
+/** The readings under half that fail a day. */
+export function unserved(a: Asked): Served[] {
+  return served(a).filter((s) => s.margin < 0 && !s.isWarning);
+}
+
+/** One job's part in what was asked, at an age; `ageS` is its age at its end, or now. */
+export interface JobLife {
+  readonly spec: JobSpec;
+  readonly ageS: number;
+  readonly isStarted: boolean;
+  readonly isEnded: boolean;
+  /** Cancelled by its user: what it had not reached counts neither way. */
+  readonly isCancelled: boolean;
+}
+
+/** Adds a job that ends by itself; replicas are added as they run. */
+export function countJob(a: Asked, j: JobLife): void {
+  if (j.isStarted || (!j.isCancelled && j.ageS >= START_S)) {
+    a.couldStart += 1;
+    if (j.isStarted) a.started += 1;
+  }
+  if (j.spec.kind === 'service' || (j.isCancelled && !j.isEnded)) return;
+  if (!j.isEnded && j.ageS < couldEndS(j.spec)) return;
+  a.couldEnd += 1;
+  if (j.isEnded) a.ended += 1;
+  const { deadlineS } = j.spec;
+  if (deadlineS === null) return;
+  a.timed += 1;
+  if (j.isEnded && j.ageS <= deadlineS) a.inTime += 1;
+}
--- /dev/null
+++ b/packages/shares/test/shares.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Ms } from '@spurbridge/net';
+import type { MachineId, NodeId, Session, Token, WorkerReport } from '@spurbridge/wire';
+import type { Holder } from '../src/index.js';
+import { Balance, Grant, Pending, Share, parts } from '../src/index.js';
+
+class Hand {
+  at = 0;
+  now(): Ms {
+    return this.at as Ms;
+  }
+  sleep(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+const token = (n: number): Token => n as Token;
+
+function report(machine: string, seq: number, session = 1): WorkerReport {
+  return {
+    machine: machine as MachineId,
+    address: machine,
+    type: 's',
+    zone: 'a',
+    spot: false,
+    session: session as Session,
+    seq,
+    token: token(1),
+    noticeS: null,
+    tasks: [],
+  };
+}
+
+// The holder's clock runs up to 0.05 % slower than the leader's; the question is sent before it is answered.
+test('a grant never outlives the horizon of the leader that gave it, whatever clocks and delays', () => {
+  const drift = fc.double({ min: 0.9995, max: 1.0005, noNaN: true });
+  const delay = fc.nat(5000);
+  fc.assert(
+    fc.property(
+      drift,
+      drift,
+      delay,
+      delay,
+      fc.nat(20_000),
+      fc.nat(40_000),
+      (h, l, out, back, left, after) => {
+        const clock = new Hand();
+        const grant = new Grant(clock);
+        // True time 0: asked. The leader answers at `out`; the answer is read at `out + back`.
+        const horizonEnds = out + left / l;
+        clock.at = (out + back) * h;
+        grant.extend(token(7), 0 as Ms, left);
+        const trueNow = out + back + after;
+        clock.at = trueNow * h;
+        if (grant.token(token(7)) !== null) assert.ok(trueNow <= horizonEnds);
+      },
+    ),
+    { numRuns: 2000 },
+  );
+});
+
+test('a grant ends with its time or a higher token, and an older answer does not bring it back', () => {
+  const clock = new Hand();
+  const grant = new Grant(clock);
+  assert.equal(grant.token(token(0)), null);
+  grant.extend(token(5), 0 as Ms, 1000);
+  assert.equal(grant.token(token(5)), 5);
+  assert.equal(grant.token(token(6)), null);
+  grant.extend(token(4), 0 as Ms, 60_000);
+  clock.at = 1001;
+  assert.equal(grant.token(token(5)), null);
+  grant.extend(token(5), 900 as Ms, 500);
+  assert.equal(grant.token(token(5)), 5);
+  grant.extend(token(5), 0 as Ms, 500);
+  assert.equal(grant.token(token(5)), 5);
+  grant.extend(token(8), 1000 as Ms, 0);
+  assert.equal(grant.token(token(8)), null);
+});
+
+test('a question ends once: by the answer of whom it was put to, by time, or with the link', async () => {
+  const clock = new Hand();
+  const pending = new Pending<string>(clock, 2000);
+  const a = pending.ask('one' as NodeId);
+  pending.answered(a.id, 'two' as NodeId, 'forged');
+  pending.answered(a.id, 'one' as NodeId, 'right');
+  pending.answered(a.id, 'one' as NodeId, 'again');
+  assert.equal(await a.answer, 'right');
+  const b = pending.ask('one' as NodeId);
+  clock.at = 1000;
+  const c = pending.ask('two' as NodeId);
+  clock.at = 2000;
+  pending.sweep();
+  assert.equal(await b.answer, null);
+  assert.equal(pending.size, 1);
+  pending.closed('one' as NodeId);
+  assert.equal(pending.size, 1);
+  pending.closed('two' as NodeId);
+  assert.equal(await c.answer, null);
+});
+
+test('a share knows the newest report of each machine held, and forgets those that left', () => {
+  const clock = new Hand();
+  const share = new Share(clock, 10_000);
+  share.reported(report('n-1', 5));
+  share.reported(report('n-1', 4));
+  share.reported(report('n-2', 1));
+  clock.at = 4000;
+  assert.deepEqual(
+    share.known().map((k) => [k.report.machine, k.report.seq, k.ageMs]),
+    [
+      ['n-1', 5, 4000],
+      ['n-2', 1, 4000],
+    ],
+  );
+  share.moved('n-1' as MachineId);
+  assert.equal(share.size, 1);
+  share.reported(report('n-1', 1, 2));
+  assert.equal(share.size, 2);
+  assert.equal(share.known()[0]?.report.session, 2);
+  clock.at = 12_000;
+  share.sweep();
+  assert.deepEqual([share.size, share.known().length], [1, 1]);
+  share.moved('n-1' as MachineId);
+  clock.at = 30_000;
+  share.sweep();
+  assert.equal(share.size, 0);
+});
+
+/** Plays nodes that hold machines, each deciding for its own workers, until nothing moves any more. */
+function settle(
+  counts: readonly number[],
+  leader: number,
+  staleMs: number,
+): { counts: number[]; moves: number } {
+  const clock = new Hand();
+  const nodes = counts.map((machines, i) => ({ node: `spur-${i}` as NodeId, machines }));
+  const balances = nodes.map((n) => new Balance(clock, n.node));
+  let said: Holder[] = [];
+  let moves = 0;
+  for (; clock.at < 400_000; clock.at += 10) {
+    if (clock.at % staleMs === 0) said = nodes.map((n, i) => ({ ...n, leads: i === leader }));
+    nodes.forEach((n, i) => {
+      if (n.machines === 0) return;
+      const own = { ...n, leads: i === leader };
+      const to = balances[i]?.target(
+        own,
+        said.filter((h) => h.node !== n.node),
+      );
+      const target = nodes.find((x) => x.node === to);
+      if (target === undefined) return;
+      n.machines -= 1;
+      target.machines += 1;
+      moves += 1;
+    });
+  }
+  return { counts: nodes.map((n) => n.machines), moves };
+}
+
+test('shares come near to even with few moves, none back and forth, on news that is 700 ms old', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat(600), { minLength: 2, maxLength: 5 }), fc.nat(4), (counts, lead) => {
+      const leader = lead % counts.length;
+      const all = counts.reduce((a, b) => a + b, 0);
+      const holders = counts.map((machines, i) => ({
+        node: `spur-${i}` as NodeId,
+        machines,
+        leads: i === leader,
+      }));
+      const wanted = [...parts(holders).values()];
+      const due = counts.reduce((sum, c, i) => sum + Math.max(0, c - (wanted[i] ?? 0)), 0);
+      const end = settle(counts, leader, 700);
+      assert.equal(
+        end.counts.reduce((a, b) => a + b, 0),
+        all,
+      );
+      assert.ok(end.moves <= due + 5 * counts.length, `${end.moves} moves, ${due} due`);
+      end.counts.forEach((c, i) => {
+        assert.ok(
+          c <= (wanted[i] ?? 0) * 1.25 + 9,
+          `${JSON.stringify(end.counts)} of ${JSON.stringify(wanted)}`,
+        );
+      });
+    }),
+    { numRuns: 25 },
+  );
+});
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -1,4 +1,5 @@
-import type { Team } from '@spurbridge/model';
+import type { Asked, Team } from '@spurbridge/model';
+import { REPLICAS_FROM_S, countJob, nothingAsked, runnable, unserved } from '@spurbridge/model';
 import type { Attempt, JobId, JobPhase, JobSpec, MachineId } from '@spurbridge/wire';
 
 export interface Broken {
@@ -22,6 +23,13 @@
   readonly done: boolean;
 }
 
+interface Life {
+  readonly submittedMs: number;
+  startedMs: number | null;
+  endedMs: number | null;
+  cancelMs: number | null;
+}
+
 const EPSILON = 1e-6;
 
 interface Answers {
@@ -31,6 +39,10 @@
 
 const FORGOTTEN_MS = 90_000;
 
+function whoOf(spec: JobSpec): string[] {
+  return [`class ${spec.class}`, `team ${spec.team}`];
+}
+
 /** Judges what machines do and what users are told against the rules of the protocol. */
 export class RuleChecker {
   readonly broken: Broken[] = [];
@@ -46,6 +58,11 @@
   /** Since when no poll for a job was answered, and how many others were by then. */
   private readonly failing = new Map<JobId, { readonly sinceMs: number; readonly before: Answers }>();
   private answers: Answers = { given: 0, refused: 0 };
+  /** When each job was submitted, had its first start and was complete; and when its user asked to cancel it. */
+  private readonly lives = new Map<JobId, Life>();
+  /** Replica time asked for and run, by class and by team. */
+  private readonly replicas = new Map<string, { wantedS: number; ranS: number }>();
+  private sweptAt = 0;
   starts = 0;
   /** Starts of tasks that were done already: they end at once, but their place is taken. */
   startsOfDone = 0;
@@ -70,6 +87,8 @@
     machine: Omit<On, 'job' | 'task' | 'attempt' | 'sinceMs'> & { type: string; spot: boolean },
   ): void {
     this.starts += 1;
+    const life = this.lives.get(job.id);
+    if (life !== undefined) life.startedMs ??= this.now();
     if (this.isDone(job.id, task)) this.startsOfDone += 1;
     const name = `${job.id}/${task}`;
     const other = [...this.on.values()].find((o) => o.job.id === job.id && o.task === task);
@@ -113,6 +132,12 @@
     if (!done) return;
     const tasks = this.doneTasks.get(job) ?? new Set();
     this.doneTasks.set(job, tasks.add(task));
+    this.complete(job, tasks.size);
+  }
+
+  private complete(id: JobId, done: number): void {
+    const life = this.lives.get(id);
+    if (life !== undefined && done === this.submitted.get(id)?.tasks) life.endedMs ??= this.now();
   }
 
   /** A gang completes together: if one task is done, all are. */
@@ -121,6 +146,7 @@
     if (there.length < job.tasks && !this.isDone(job.id, 0))
       this.breaks('gang_split', `${job.id} was done with ${there.length} of ${job.tasks} tasks`);
     this.doneTasks.set(job.id, new Set(Array.from({ length: job.tasks }, (_, task) => task)));
+    this.complete(job.id, job.tasks);
   }
 
   isDone(job: JobId, task: number): boolean {
@@ -137,14 +163,67 @@
   /** Called once in a while: tasks that stay on a machine break rules without anything happening. */
   sweep(): void {
     for (const job of this.toldCancelled.keys()) this.checkCancelled(job);
+    this.countReplicas();
   }
 
   submit(spec: JobSpec): void {
     this.submitted.set(spec.id, spec);
+    const life = { submittedMs: this.now(), startedMs: null, endedMs: null, cancelMs: null };
+    if (!this.lives.has(spec.id)) this.lives.set(spec.id, life);
   }
 
   cancelAsked(id: JobId): void {
     this.askedCancel.add(id);
+    const life = this.lives.get(id);
+    if (life !== undefined) life.cancelMs ??= this.now();
+  }
+
+  private countReplicas(): void {
+    const now = this.now();
+    const passedS = (now - this.sweptAt) / 1000;
+    this.sweptAt = now;
+    const running = new Map<JobId, number>();
+    for (const o of this.on.values()) running.set(o.job.id, (running.get(o.job.id) ?? 0) + 1);
+    for (const [id, life] of this.lives) {
+      const spec = this.submitted.get(id);
+      if (spec?.kind !== 'service' || life.cancelMs !== null) continue;
+      if (now - life.submittedMs < REPLICAS_FROM_S * 1000) continue;
+      for (const who of whoOf(spec)) {
+        const sum = this.replicas.get(who) ?? { wantedS: 0, ranS: 0 };
+        this.replicas.set(who, sum);
+        sum.wantedS += runnable(spec) * passedS;
+        sum.ranS += Math.min(runnable(spec), running.get(id) ?? 0) * passedS;
+      }
+    }
+  }
+
+  /** What every class and team asked for and got until now, by the definition of `served`. */
+  asked(): Map<string, Asked> {
+    const all = new Map<string, Asked>();
+    for (const [id, life] of this.lives) {
+      const spec = this.submitted.get(id);
+      if (spec === undefined) continue;
+      const untilMs = life.endedMs ?? life.cancelMs ?? this.now();
+      for (const who of whoOf(spec)) {
+        const asked = all.get(who) ?? { ...nothingAsked(), ...this.replicas.get(who) };
+        all.set(who, asked);
+        countJob(asked, {
+          spec,
+          ageS: (untilMs - life.submittedMs) / 1000,
+          isStarted: life.startedMs !== null,
+          isEnded: life.endedMs !== null,
+          isCancelled: life.cancelMs !== null,
+        });
+      }
+    }
+    return all;
+  }
+
+  /** Classes and teams of which less than half was served, as a broken rule is named. */
+  unserved(): string[] {
+    return [...this.asked()].flatMap(([who, asked]) =>
+      unserved(asked).map((s) => `${who}: ${s.reading} ${s.share.toFixed(2)}`),
+    );
   }
 
   /** Tasks of the kind that are on machines now. */
--- a/packages/testkit/src/drawn.ts
+++ b/packages/testkit/src/drawn.ts
@@ -32,6 +32,7 @@
     const at = w.random(70_000);
     const drawn = jobSpec({
       id,
+      class: kind,
       kind,
       team: w.random(3) === 0 ? 'blue' : 'red',
       tasks: 1 + w.random(kind === 'array' ? 8 : 3),
--- a/packages/testkit/test/days.test.ts
+++ b/packages/testkit/test/days.test.ts
@@ -24,6 +24,7 @@
 function assertKept(w: World, seed: number): void {
   assert.deepEqual(w.checker.broken, [], `seed ${seed}`);
   assert.ok(w.checker.starts > 0, `seed ${seed} started nothing`);
+  assert.deepEqual(w.checker.unserved(), [], `seed ${seed}`);
 }
 
 test('a quiet day keeps every rule and ends every job', async () => {
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -114,6 +114,42 @@
   assert.deepEqual(parseTaskName('wk-000412/3'), { job: 'wk-000412', task: 3 });
 });
 
+const forwarded = fc.record({
+  id: fc.nat(),
+  ageMs: fc.nat(),
+  report: fc.record({
+    machine: label as unknown as fc.Arbitrary<MachineId>,
+    address: label,
+    type: label,
+    zone: label,
+    spot: fc.boolean(),
+    session: fc.nat() as unknown as fc.Arbitrary<Session>,
+    seq: fc.nat(),
+    token: fc.nat(2 ** 31 - 1) as unknown as fc.Arbitrary<Token>,
+    noticeS: fc.option(fc.integer({ min: 0, max: 100 })),
+    tasks: fc.array(taskReport, { maxLength: 5 }),
+  }),
+});
+const order = fc.record({
+  job: jobId,
+  task: fc.nat(),
+  attempt: fc.nat() as unknown as fc.Arbitrary<Attempt>,
+});
+const forwardAnswer = fc.record({
+  id: fc.nat(),
+  code: fc.constantFrom(200 as const, 503 as const),
+  token: fc.nat(2 ** 31 - 1) as unknown as fc.Arbitrary<Token>,
+  grantMs: fc.nat(),
+  commands: fc.array(
+    fc.oneof(
+      order.map((o) => ({ op: 'start' as const, ...o })),
+      order.map((o) => ({ op: 'stop' as const, ...o, graceS: 4 })),
+      order.map((o) => ({ op: 'forget' as const, ...o })),
+    ),
+    { maxLength: 4 },
+  ),
+});
+
 test('peer messages are found again however the stream is cut', () => {
   const message = fc.record({
     status: fc.record({
@@ -132,6 +168,9 @@
       holds: fc.boolean(),
     }),
     progress: fc.array(fc.record({ job: jobId, done: fc.nat(), running: fc.nat() }), { maxLength: 30 }),
+    from: label as fc.Arbitrary<NodeId>,
+    forwards: fc.array(forwarded, { minLength: 1, maxLength: 3 }),
+    answers: fc.array(forwardAnswer, { minLength: 1, maxLength: 3 }),
   });
   fc.assert(
     fc.property(
