Warm nodes lead before a process that has just begun; deafness needs unanswered calls

Excluded: V8 flags (none changes a cold process's cost beyond noise). Change: where a peer is heard, the new process only ends its predecessor's leadership and stands back 1.5 s; deaf is who gets no report and no answer to three calls in a row. A share counts workers heard within their interval and 4 s.

--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -100,6 +100,7 @@
       for (const s of starts) m.unanswered.add(s);
       const outcome = await workers.commands(m.address, leadership.token, session, commands);
       if (!this.tenure.active) return;
+      this.tenure.reach.called(outcome.outcome === 'executed' || outcome.outcome === 'rejected');
       if (outcome.outcome === 'unknown') return;
       if (m.session === session) for (const s of starts) m.unanswered.delete(s);
       if (outcome.outcome === 'unsent') return;
--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -16,6 +16,7 @@
 import type { ReportAnswer } from './node.js';
 import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
+import { longestReportMs } from './settings.js';
 
 /** The leader's answer is waited for no longer than this: the worker itself waits 4 s. */
 const PATIENCE_MS = 2000;
@@ -26,6 +27,8 @@
 const FORWARDS_A_FRAME = 100;
 /** With the link to a leader gone, its grant is used no longer than this: it may live, and should hear the workers. */
 const ALONE_MS = 4000;
+/** A worker that is this much later than its longest interval reports elsewhere, or not at all. */
+const AWAY_MS = 4000;
 /** A status older than this says nothing. */
 const PEER_MS = 2500;
 /** A node takes workers from others once it has been able to answer them for this long. */
@@ -70,7 +73,7 @@
   private highest = 0 as Token;
 
   constructor(private readonly p: HoldingParts) {
-    this.share = new Share(p.clock, p.settings.workers.leaseS * 1000);
+    this.share = new Share(p.clock, longestReportMs(p.settings) + AWAY_MS);
     this.grant = new Grant(p.clock);
     this.balance = new Balance(p.clock, p.settings.node);
     this.pending = new Pending(p.clock, PATIENCE_MS);
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -79,6 +79,7 @@
       log: (message, fields) => {
         log.info(fields, message);
       },
+      hasPeers: () => this.peers.someoneServed(),
     });
     this.peers = parts.link(
       () => this.status(),
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -26,6 +26,8 @@
 const DEAF_LEAST = 10;
 const DEAF_MS = 2000;
 const DEAF_REPORTS = 12;
+/** Workers may all have gone to other nodes: machines must not answer calls either. */
+const DEAF_CALLS = 3;
 /** After a takeover, workers find the new leader with their next report, or with the one after. */
 const FIND_MS = 3250;
 
@@ -108,6 +110,7 @@
       })
       .then((report) => {
         if (!this.tenure.active) return;
+        this.tenure.reach.called(report !== null);
         if (report === null) {
           m.unansweredProbes += 1;
           return;
@@ -175,7 +178,8 @@
     const quietMs = now - Math.max(lastAt ?? now, this.tenure.electedAt);
     // Those that found it before it led may have gone elsewhere since.
     const isNew = now - this.tenure.electedAt < longestReportMs(settings) + DEAF_MS;
-    const deaf = !isNew && size >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
+    const quiet = size >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
+    const deaf = !isNew && quiet && this.tenure.reach.isLost(DEAF_CALLS, DEAF_MS);
     // Twice in a row: what came while this process was held up is read between two sweeps.
     const again = deaf && this.wasDeaf;
     this.wasDeaf = deaf;
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -5,6 +5,7 @@
 import type { JobId, JobProgress, MachineType } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import type { Log } from './log.js';
+import { Reach } from './reach.js';
 import type { Settings } from './settings.js';
 import type { WorkerLink } from './worker-link.js';
 
@@ -44,10 +45,13 @@
 /** One node's time as leader, from election to deposition: what every room of the leader shares. */
 export class Tenure {
   readonly electedAt: Ms;
+  /** What direct calls to machines say of this node's own network. */
+  readonly reach: Reach;
   private over = false;
 
   constructor(readonly c: LeaderContext) {
     this.electedAt = c.clock.now();
+    this.reach = new Reach(c.clock);
   }
 
   get active(): boolean {
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -14,6 +14,8 @@
 /** After resigning, the others get this long to take over, and it is not done again for a while. */
 const STAND_BACK_MS = 5000;
 const STAY_MS = 60_000;
+/** A process that has just begun lets others lead first for this long, where there are others. */
+const BEGINNER_MS = 1500;
 
 /**
  * following -> campaigning -> leading -> holding -> following.
@@ -28,6 +30,8 @@
   resumed(): void;
   deposed(reason: string): void;
   log(message: string, fields: Record<string, unknown>): void;
+  /** Whether another node is heard that may lead. */
+  hasPeers?(): boolean;
 }
 
 const TRANSITIONS: Record<LeadershipState, readonly LeadershipState[]> = {
@@ -212,6 +216,7 @@
       if (value['incarnation'] === this.incarnation) await this.clock.sleep(RETRY_MS);
       // The process before this one led, and that this one holds its ports proves it gone: nobody believes in that
       // lease any more, so it need not run out.
+      else if (this.events.hasPeers?.() === true) await this.clearFor(found.item.version);
       else await this.campaign(found.item.version);
       return;
     }
@@ -224,6 +229,17 @@
     if (watched.outcome !== 'events') await this.clock.sleep(RETRY_MS);
   }
 
+  /**
+   * Ends the leadership of the process before this one, and lets those lead that ran on: a process that has just begun
+   * was at its share for ten seconds and lost its lease again.
+   */
+  private async clearFor(version: Version): Promise<void> {
+    this.standsBackUntil = later(this.clock.now(), BEGINNER_MS);
+    const cleared = await this.store.commit([{ key: LEADER_KEY, version }], [{ delete: LEADER_KEY }], 0);
+    this.events.log('the process before this one led', { cleared: cleared.outcome });
+    if (cleared.outcome !== 'committed') await this.clock.sleep(RETRY_MS);
+  }
+
   private async campaign(instead: Version = ABSENT): Promise<void> {
     this.enter('campaigning', instead === ABSENT ? 'nobody leads' : 'the process before this one led');
     const { era } = this.store;
