--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -64,6 +64,8 @@
   private readonly replicas = new Map<string, { wantedS: number; ranS: number }>();
   private sweptAt = 0;
   starts = 0;
+  /** Tasks killed because nobody answered their worker in time. */
+  killedByLease = 0;
   /** Starts of tasks that were done already: they end at once, but their place is taken. */
   startsOfDone = 0;
   /** Told of every run that ends. */
--- a/packages/testkit/src/clock.ts
+++ b/packages/testkit/src/clock.ts
@@ -37,6 +37,8 @@
 /** The steady clock of one process, a little fast; a dead process never wakes. */
 export class ProcessClock implements Clock {
   alive = true;
+  /** Until then the process stands still, though its clock runs on. */
+  private frozenUntil = 0;
 
   constructor(
     private readonly time: SimTime,
@@ -48,11 +50,17 @@
     return (this.time.now * this.rate + this.offset) as Ms;
   }
 
+  freeze(untilMs: number): void {
+    this.frozenUntil = Math.max(this.frozenUntil, untilMs);
+  }
+
   sleep(ms: number): Promise<void> {
     return new Promise((resolve) => {
-      this.time.after(ms / this.rate, () => {
-        if (this.alive) resolve();
-      });
+      const wake = (): void => {
+        if (this.time.now < this.frozenUntil) this.time.after(this.frozenUntil - this.time.now, wake);
+        else if (this.alive) resolve();
+      };
+      this.time.after(ms / this.rate, wake);
     });
   }
 }
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -95,20 +95,35 @@
   private tick(): void {
     if (!this.alive) return;
     if (!this.hanging && this.now - this.leaseFrom > this.world.leaseMs) {
-      this.clear();
-      this.session += 1;
-      this.seq = 0;
-      this.leaseFrom = this.now;
+      this.expire();
     }
     this.world.time.after(100, () => {
       this.tick();
     });
   }
 
-  private clear(): void {
+  private clear(): number {
+    let running = 0;
     for (const t of this.tasks.values())
-      if (t.phase !== 'exited') this.world.checker.left(t.job.id, t.task, this.id, false);
+      if (t.phase !== 'exited') {
+        running += 1;
+        this.world.checker.left(t.job.id, t.task, this.id, false);
+      }
     this.tasks.clear();
+    return running;
+  }
+
+  /** The lease is over: everything here is killed and forgotten. */
+  private expire(): void {
+    this.world.checker.killedByLease += this.clear();
+    this.session += 1;
+    this.seq = 0;
+    this.leaseFrom = this.now;
+  }
+
+  /** Index of the node that it reports to, in the order of the nodes' names. */
+  get reportsTo(): number {
+    return this.node % this.world.nodes.length;
   }
 
   die(): void {
@@ -128,10 +143,7 @@
     this.hanging = false;
     // The lease is looked at first: what it ended must not act any more.
     if (this.now - this.leaseFrom > this.world.leaseMs) {
-      this.clear();
-      this.session += 1;
-      this.seq = 0;
-      this.leaseFrom = this.now;
+      this.expire();
     }
     for (const act of this.whenResumed.splice(0)) act();
   }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -209,6 +209,30 @@
     });
   }
 
+  /** A node stands still for a while: what it is sent waits, and its timers go off late. */
+  freeze(index: number, forMs: number): void {
+    const node = this.nodes[index];
+    if (node === undefined || !node.clock.alive) return;
+    node.clock.freeze(this.time.now + forMs);
+    const hosts = [
+      STATE_HOST,
+      CLOUD_HOST,
+      ...[...this.workers.keys()].map(String),
+      ...this.nodes.filter((n) => n !== node).map((n) => n.name as string),
+    ];
+    for (const host of hosts) this.network.cut(node.name, host, 'hold');
+    this.time.after(forMs, () => {
+      for (const host of hosts) this.network.heal(node.name, host);
+    });
+  }
+
+  /** Machines whose workers report to each node, in the order of the nodes. */
+  held(): number[] {
+    const counts = this.nodes.map(() => 0);
+    for (const x of this.workers.values()) if (x.alive) counts[x.reportsTo] = (counts[x.reportsTo] ?? 0) + 1;
+    return counts;
+  }
+
   private alive(name: string): SimNode | null {
     const node = this.nodes.find((n) => n.name === name);
     return node?.clock.alive === true ? node : null;
@@ -232,11 +256,13 @@
       // A dead process refuses at once; a host behind a cut is silent.
       const target = this.alive(to);
       if (target === null || this.refusedLinks.has(SimNetwork.pair(name, to))) return false;
-      const frame = encodePeerMessage(message);
+      const frame = encodePeerMessage(this.earlier.has(name) ? asBefore(message) : message);
       this.network.send(name, to, () => {
         if (this.alive(to) !== target || !clock.alive) return;
         const decoded = decodePeerMessage(frame);
-        if (decoded !== null) this.receivers.get(to)?.(decoded.message);
+        if (decoded === null) return;
+        const { message: sent } = decoded;
+        this.receivers.get(to)?.(this.earlier.has(to) ? asBefore(sent) : sent);
       });
       return true;
     };
@@ -260,6 +286,8 @@
   private readonly receivers = new Map<string, (message: PeerMessage) => void>();
   private readonly closers = new Map<string, (node: NodeId) => void>();
   private readonly refusedLinks = new Set<string>();
+  /** Nodes of a version that knows nothing of shares. */
+  readonly earlier = new Set<string>();
 
   /** Connections between two controllers are refused from now on, or again accepted. */
   refuseLink(a: string, b: string, refused: boolean): void {
@@ -514,3 +542,12 @@
     return (this.state.peek(`j/${id}`) as { phase?: unknown } | undefined)?.phase;
   }
 }
+
+/** What is left of a message for a node of a version before shares. */
+function asBefore({ status, progress }: PeerMessage): PeerMessage {
+  const known = { takesReports: false, ready: false, holds: false, machines: 0 };
+  return {
+    ...(status === undefined ? {} : { status: { ...status, ...known } }),
+    ...(progress === undefined ? {} : { progress }),
+  };
+}
--- /dev/null
+++ b/packages/testkit/test/shares.test.ts
@@ -0,0 +1,252 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobId, MachineType } from '@spurbridge/wire';
+import { World, ZONES, cutZone, jobSpec, leaderIndex, machineType, watchLeaders } from '../src/index.js';
+
+const TYPES: readonly MachineType[] = [machineType('s4', 4), machineType('m16', 16)];
+const TEAMS = [
+  { name: 'red', cpus: 600, cpusMax: 1200, gpus: 0, gpusMax: 0 },
+  { name: 'blue', cpus: 600, cpusMax: 1200, gpus: 0, gpusMax: 0 },
+];
+const LEASE_S = 22;
+/** Troubles begin when machines are up and shares are even. */
+const CALM_MS = 70_000;
+const END_MS = 160_000;
+
+/** Some seventy machines with services that stay and arrays that come and go. */
+function fleet(seed: number): World {
+  const w = new World({
+    seed,
+    teams: TEAMS,
+    types: TYPES,
+    zones: ZONES,
+    capacity: 20,
+    leaseS: LEASE_S,
+    cancelS: 42,
+    stateLimits: { rps: 200, writeRps: 60, valueKb: 16, txnOps: 12 },
+  });
+  watchLeaders(w, (at) => {
+    assert.fail(`two leaders at ${at}`);
+  });
+  let jobs = 0;
+  const id = (): JobId => `wk-${String(jobs++).padStart(6, '0')}` as JobId;
+  for (let i = 0; i < 16; i += 1)
+    w.user(
+      jobSpec({
+        id: id(),
+        kind: 'service',
+        team: 'blue',
+        priority: 'production',
+        tasks: 6,
+        cpus: 2,
+        estimateS: 0,
+        spot: false,
+        spread: true,
+        image: `srv-${i % 4}`,
+      }),
+      null,
+    );
+  for (let at = 1000; at < 130_000; at += 4000)
+    w.time.after(at, () => {
+      const cancelAt = w.random(4) === 0 ? w.time.now + 2000 + w.random(20_000) : null;
+      w.user(jobSpec({ id: id(), tasks: 12, cpus: 2, estimateS: 10, image: `img-${w.random(4)}` }), cancelAt);
+    });
+  return w;
+}
+
+function assertKept(w: World, killed = 0): void {
+  assert.deepEqual(w.checker.broken, []);
+  assert.deepEqual(w.checker.unserved(), []);
+  assert.ok(w.checker.killedByLease <= killed, `${w.checker.killedByLease} tasks killed by leases`);
+}
+
+/** Machines that report to another node than before. */
+function movedSince(w: World, before: ReadonlyMap<string, number>): number {
+  return [...w.workers.values()].filter((x) => {
+    const was = before.get(x.id);
+    return x.alive && was !== undefined && was !== x.reportsTo;
+  }).length;
+}
+
+function placesOf(w: World): Map<string, number> {
+  return new Map([...w.workers.values()].filter((x) => x.alive).map((x) => [x.id, x.reportsTo]));
+}
+
+test('workers that all begin at one node are spread over all, the leader holding least', async () => {
+  const w = fleet(1);
+  await w.run(CALM_MS);
+  const held = w.held();
+  const leader = leaderIndex(w);
+  assert.ok(
+    held.every((n) => n > 0),
+    held.join(' '),
+  );
+  for (const [i, n] of held.entries()) if (i !== leader) assert.ok(n >= (held[leader] ?? 0), held.join(' '));
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+for (const backMs of [100, 200, 8000])
+  test(`the leader ends and is back after ${backMs} ms: nobody else’s workers move, no lease runs out`, async () => {
+    const w = fleet(2);
+    await w.run(CALM_MS);
+    const leader = leaderIndex(w);
+    const before = placesOf(w);
+    const its = w.held()[leader] ?? 0;
+    w.crash(leader, backMs);
+    await w.run(CALM_MS + 6000);
+    assert.ok(movedSince(w, before) <= its + 6, `${movedSince(w, before)} moved of ${its} that were its own`);
+    const next = w.nodes.find((n) => n.clock.alive && n.controller.leadership.holdsSurely());
+    assert.ok(next !== undefined, 'nobody leads after six seconds');
+    await w.run(END_MS);
+    assertKept(w);
+  });
+
+test('with a process back at once the next leader need not wait for the lease', async () => {
+  const w = fleet(3);
+  await w.run(CALM_MS);
+  const leader = leaderIndex(w);
+  w.crash(leader, 100);
+  let led: number | null = null;
+  const look = (): void => {
+    const sure = w.nodes.some((n) => n.clock.alive && n.controller.leadership.holdsSurely());
+    if (sure) led ??= w.time.now;
+    else w.time.after(50, look);
+  };
+  w.time.after(150, look);
+  await w.run(CALM_MS + 10_000);
+  assert.ok(led !== null && led - CALM_MS < 1500, `led after ${String(led)}`);
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+test('a holder ends and is back in 0.2 s, again and again: its workers go elsewhere and come back, none is killed', async () => {
+  const w = fleet(4);
+  await w.run(CALM_MS);
+  const leader = leaderIndex(w);
+  const holder = (leader + 1) % 3;
+  for (let n = 0; n < 10; n += 1)
+    w.time.after(n * 2000, () => {
+      w.crash(holder, 200);
+    });
+  await w.run(END_MS);
+  assert.ok((w.held()[holder] ?? 0) > 0, w.held().join(' '));
+  assertKept(w);
+});
+
+test('all nodes end at the same instant, and again before they have read the records', async () => {
+  const w = fleet(5);
+  await w.run(CALM_MS);
+  for (const at of [0, 250, 500, 2000])
+    w.time.after(at, () => {
+      for (let i = 0; i < 3; i += 1) w.crash(i, 200);
+    });
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+test('a leader frozen for 30 s comes back to workers that another leads; cancellations held', async () => {
+  const w = fleet(6);
+  await w.run(CALM_MS);
+  w.freeze(leaderIndex(w), 30_000);
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+test('a holder frozen for 30 s goes on with a grant that is over: its workers went elsewhere', async () => {
+  const w = fleet(7);
+  await w.run(CALM_MS);
+  const holder = (leaderIndex(w) + 1) % 3;
+  const token = w.nodes[holder]?.controller.leadership.leader()?.token;
+  w.freeze(holder, 30_000);
+  await w.run(CALM_MS + 25_000);
+  assert.equal(w.held()[holder], 0);
+  await w.run(END_MS);
+  assert.ok(token !== undefined);
+  assertKept(w);
+});
+
+test('links between controllers refused for 40 s: workers find the leader itself and nothing stops', async () => {
+  const w = fleet(8);
+  await w.run(CALM_MS);
+  const names = w.nodes.map((n) => n.name as string);
+  const pairs = names.flatMap((a, i) => names.slice(i + 1).map((b) => [a, b] as const));
+  for (const [a, b] of pairs) w.refuseLink(a, b, true);
+  await w.run(CALM_MS + 20_000);
+  const leader = leaderIndex(w);
+  const held = w.held();
+  assert.equal(
+    held.reduce((a, b) => a + b, 0),
+    held[leader],
+  );
+  await w.run(CALM_MS + 40_000);
+  for (const [a, b] of pairs) w.refuseLink(a, b, false);
+  await w.run(END_MS);
+  assert.ok(w.held().filter((n) => n > 0).length > 1, w.held().join(' '));
+  assertKept(w);
+});
+
+test('messages between controllers held back for a minute and then delivered change nothing', async () => {
+  const w = fleet(9);
+  await w.run(CALM_MS);
+  const names = w.nodes.map((n) => n.name as string);
+  const pairs = names.flatMap((a, i) => names.slice(i + 1).map((b) => [a, b] as const));
+  for (const [a, b] of pairs) w.network.cut(a, b, 'hold');
+  w.time.after(60_000, () => {
+    for (const [a, b] of pairs) w.network.heal(a, b);
+  });
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+for (const earlier of ['leader', 'holder'] as const)
+  test(`a ${earlier} of the version before among the others: workers report to the leader as they did`, async () => {
+    const w = fleet(10);
+    await w.run(CALM_MS);
+    const leader = leaderIndex(w);
+    w.earlier.add(w.nodes[earlier === 'leader' ? leader : (leader + 1) % 3]?.name ?? '');
+    await w.run(CALM_MS + 20_000);
+    if (earlier === 'leader')
+      assert.equal(w.held()[leader], [...w.workers.values()].filter((x) => x.alive).length);
+    await w.run(END_MS);
+    assertKept(w);
+  });
+
+test('a holder cut off with its zone answers under its grant, and no longer than that', async () => {
+  const w = fleet(11);
+  await w.run(CALM_MS);
+  const holder = (leaderIndex(w) + 1) % 3;
+  const zone = w.nodes[holder]?.zone ?? '';
+  cutZone(w, zone, CALM_MS, CALM_MS + 60_000);
+  await w.run(END_MS);
+  assert.deepEqual(w.checker.broken, []);
+  assert.deepEqual(w.checker.unserved(), []);
+});
+
+test('the state service is down for 20 s and the leader ends in it: no lease runs out', async () => {
+  const w = fleet(12);
+  await w.run(CALM_MS);
+  w.state.setOutage(true);
+  w.time.after(8000, () => {
+    w.crash(leaderIndex(w), 200);
+  });
+  w.time.after(13_000, () => {
+    w.state.setOutage(false);
+  });
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+test('every node but one ends, again and again, while machines die: what is left serves on', async () => {
+  const w = fleet(13);
+  await w.run(CALM_MS);
+  const stays = leaderIndex(w);
+  for (let n = 0; n < 5; n += 1)
+    w.time.after(n * 5000, () => {
+      for (let i = 0; i < 3; i += 1) if (i !== stays) w.crash(i, 50 + w.random(5000));
+      const up = [...w.workers.values()].filter((x) => x.alive);
+      up[w.random(up.length)]?.die();
+    });
+  await w.run(END_MS);
+  assertKept(w);
+});
