Answers to a process that has ended are not taken by the next; a beginner meets its peers first

Cause: forwards are numbered from one in every process; a leader held up answers those of the process before over the new link, and a worker would get another's orders. Found by reading; an answer now names machine, session and count of its report. A process that finds its predecessor's lease waits a second for peers before it leads itself.

--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -153,7 +153,7 @@
   }
 
   private async forward(leader: NodeId, r: WorkerReport): Promise<ReportAnswer | null> {
-    const { id, askedAt, answer } = this.pending.ask(leader);
+    const { id, askedAt, answer } = this.pending.ask(leader, nameOf(r));
     this.due.push({ id, ageMs: 0, report: r });
     if (this.due.length === 1)
       void this.p.clock.sleep(GATHER_MS).then(() => {
@@ -225,7 +225,7 @@
   take(message: PeerMessage): void {
     const { from, forwards, answers } = message;
     if (from === undefined) return;
-    for (const a of answers ?? []) this.pending.answered(a.id, from, a);
+    for (const a of answers ?? []) this.pending.answered(a.id, from, nameOf(a), a);
     if (forwards === undefined) return;
     const given: ForwardAnswer[] = [];
     for (const f of forwards)
@@ -236,7 +236,14 @@
 
   private answerTo(f: Forward): ForwardAnswer {
     const a = this.p.answer(f.report);
-    if (a.code !== 200) return { id: f.id, code: 503, token: 0 as Token, grantMs: 0, commands: [] };
-    return { id: f.id, code: 200, token: a.token, grantMs: a.grantMs, commands: a.commands };
+    const { machine, session, seq } = f.report;
+    const to = { id: f.id, machine, session, seq };
+    if (a.code !== 200) return { ...to, code: 503, token: 0 as Token, grantMs: 0, commands: [] };
+    return { ...to, code: 200, token: a.token, grantMs: a.grantMs, commands: a.commands };
   }
 }
+
+/** A report's own name: its count rises with every one, and its session with every count that begins anew. */
+function nameOf(r: Pick<WorkerReport, 'machine' | 'session' | 'seq'>): string {
+  return `${r.machine} ${r.session} ${r.seq}`;
+}
--- a/packages/shares/src/pending.ts
+++ b/packages/shares/src/pending.ts
@@ -4,6 +4,8 @@
 
 interface Question<A> {
   readonly to: NodeId;
+  /** What was asked, told apart from every other question that any process ever put. */
+  readonly what: string;
   readonly askedAt: Ms;
   readonly settle: (answer: A | null) => void;
 }
@@ -23,12 +25,15 @@
   }
 
   /** A number for the question, which no other open one has; `answer` is null where none came. */
-  ask(to: NodeId): { readonly id: number; readonly askedAt: Ms; readonly answer: Promise<A | null> } {
+  ask(
+    to: NodeId,
+    what: string,
+  ): { readonly id: number; readonly askedAt: Ms; readonly answer: Promise<A | null> } {
     this.last = this.last >= 0xffff_fffe ? 1 : this.last + 1;
     const id = this.last;
     const askedAt = this.clock.now();
     const answer = new Promise<A | null>((settle) => {
-      this.open.set(id, { to, askedAt, settle });
+      this.open.set(id, { to, what, askedAt, settle });
     });
     return { id, askedAt, answer };
   }
@@ -38,10 +43,13 @@
     q.settle(answer);
   }
 
-  /** An answer; one to a question that is over, or that was put to another node, changes nothing. */
-  answered(id: number, from: NodeId, answer: A): void {
+  /**
+   * An answer; one to a question that is over, or that was put to another node, changes nothing. Nor does one to another
+   * question: the process before this one numbered its own alike, and a worker would get another's orders.
+   */
+  answered(id: number, from: NodeId, what: string, answer: A): void {
     const q = this.open.get(id);
-    if (q?.to === from) this.end(id, q, answer);
+    if (q?.to === from && q.what === what) this.end(id, q, answer);
   }
 
   /** The link to the node has ended: what was asked there is not answered any more. */
--- a/packages/shares/test/shares.test.ts
+++ b/packages/shares/test/shares.test.ts
@@ -82,14 +82,15 @@
 test('a question ends once: by the answer of whom it was put to, by time, or with the link', async () => {
   const clock = new Hand();
   const pending = new Pending<string>(clock, 2000);
-  const a = pending.ask('one' as NodeId);
-  pending.answered(a.id, 'two' as NodeId, 'forged');
-  pending.answered(a.id, 'one' as NodeId, 'right');
-  pending.answered(a.id, 'one' as NodeId, 'again');
+  const a = pending.ask('one' as NodeId, 'n-1 1 7');
+  pending.answered(a.id, 'two' as NodeId, 'n-1 1 7', 'forged');
+  pending.answered(a.id, 'one' as NodeId, 'n-9 1 7', 'of the process before');
+  pending.answered(a.id, 'one' as NodeId, 'n-1 1 7', 'right');
+  pending.answered(a.id, 'one' as NodeId, 'n-1 1 7', 'again');
   assert.equal(await a.answer, 'right');
-  const b = pending.ask('one' as NodeId);
+  const b = pending.ask('one' as NodeId, 'n-1 1 7');
   clock.at = 1000;
-  const c = pending.ask('two' as NodeId);
+  const c = pending.ask('two' as NodeId, 'n-2 1 7');
   clock.at = 2000;
   pending.sweep();
   assert.equal(await b.answer, null);
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -16,6 +16,7 @@
 const STAY_MS = 60_000;
 /** A process that has just begun lets others lead first for this long, where there are others. */
 const BEGINNER_MS = 1500;
+const ACQUAINT_MS = 1000;
 
 /**
  * following -> campaigning -> leading -> holding -> following.
@@ -47,6 +48,8 @@
   private confirmedAt: Ms | null = null;
   private standsBackUntil = 0 as Ms;
   private staysUntil = 0 as Ms;
+  /** Until then others that run have had no time to say so. */
+  private readonly metAt: Ms;
   private ownToken = 0 as Token;
   private ownVersion = ABSENT;
   private ownEra = 0;
@@ -59,7 +62,9 @@
     private readonly self: NodeId,
     private readonly incarnation: string,
     private readonly events: LeadershipEvents,
-  ) {}
+  ) {
+    this.metAt = later(clock.now(), ACQUAINT_MS);
+  }
 
   get state(): LeadershipState {
     return this.current;
@@ -217,6 +222,7 @@
       // The process before this one led, and that this one holds its ports proves it gone: nobody believes in that
       // lease any more, so it need not run out.
       else if (this.events.hasPeers?.() === true) await this.clearFor(found.item.version);
+      else if (this.clock.now() < this.metAt) await this.clock.sleep(RETRY_MS / 2);
       else await this.campaign(found.item.version);
       return;
     }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -495,16 +495,24 @@
 
   // --- users -----------------------------------------------------------------------------------
 
+  private readonly cancelAt = new Map<JobId, number>();
+
+  /** The job's user asks to cancel it, so much later. */
+  cancelSoon(id: JobId, inMs: number): void {
+    this.cancelAt.set(id, this.time.now + inMs);
+  }
+
   /** Submits until accepted or refused for good, then polls and, if asked to, cancels. */
   user(spec: JobSpec, cancelAfterMs: number | null): void {
     this.checker.submit(spec);
     let accepted = false;
     let over = false;
+    if (cancelAfterMs !== null) this.cancelAt.set(spec.id, cancelAfterMs);
     const ask = (): void => {
       if (over) return;
       const node = this.nodes[this.random(this.nodes.length)];
       if (node?.clock.alive === true) {
-        const cancelling = accepted && cancelAfterMs !== null && this.time.now >= cancelAfterMs;
+        const cancelling = accepted && this.time.now >= (this.cancelAt.get(spec.id) ?? Infinity);
         const call = !accepted ? 'submit' : cancelling ? 'cancel' : 'poll';
         if (cancelling) this.checker.cancelAsked(spec.id);
         const answered =
--- a/packages/testkit/test/shares.test.ts
+++ b/packages/testkit/test/shares.test.ts
@@ -1,7 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobId, MachineType } from '@spurbridge/wire';
-import { World, ZONES, cutZone, jobSpec, leaderIndex, machineType, watchLeaders } from '../src/index.js';
+import {
+  CLOUD_HOST,
+  World,
+  ZONES,
+  cutZone,
+  jobSpec,
+  leaderIndex,
+  machineType,
+  watchLeaders,
+} from '../src/index.js';
 
 const TYPES: readonly MachineType[] = [machineType('s4', 4), machineType('m16', 16)];
 const TEAMS = [
@@ -250,3 +259,36 @@
   await w.run(END_MS);
   assertKept(w);
 });
+
+// The process before numbered its forwards from one as well; the leader, held up, answers both.
+test('answers to a process that has ended are not taken by the one that took its place', async () => {
+  const w = fleet(14);
+  await w.run(CALM_MS);
+  const leader = leaderIndex(w);
+  for (let n = 0; n < 12; n += 1) {
+    w.time.after(n * 4000, () => {
+      w.freeze(leader, 1500);
+    });
+    for (const holder of [(leader + 1) % 3, (leader + 2) % 3])
+      w.time.after(n * 4000 + 600 + w.random(300), () => {
+        w.crash(holder, 50);
+      });
+  }
+  await w.run(END_MS);
+  assertKept(w);
+});
+
+// Were grants endless, what a cut-off holder keeps alive would run beside its replacement and beyond its cancellation.
+test('a zone cut off for long while the cloud gives no machine back: grants end before anybody counts on it', async () => {
+  const w = fleet(15);
+  await w.run(CALM_MS);
+  const holder = (leaderIndex(w) + 1) % 3;
+  const inside = w.nodes[holder];
+  assert.ok(inside !== undefined);
+  cutZone(w, inside.zone, CALM_MS, CALM_MS + 85_000);
+  for (const n of w.nodes) w.network.cut(n.name, CLOUD_HOST, 'drop');
+  for (const s of w.checker.submitted.values())
+    if (s.kind === 'service' && w.random(2) === 0) w.cancelSoon(s.id, 1000 + w.random(4000));
+  await w.run(CALM_MS + 89_000);
+  assert.deepEqual(w.checker.broken, []);
+});
--- a/packages/wire/src/forward.ts
+++ b/packages/wire/src/forward.ts
@@ -14,6 +14,10 @@
 /** The leader's answer to a forwarded report. */
 export interface ForwardAnswer {
   readonly id: number;
+  /** The report that it answers: no two reports have all three alike. */
+  readonly machine: MachineId;
+  readonly session: Session;
+  readonly seq: number;
   readonly code: 200 | 503;
   readonly token: Token;
   /** So long its holder may answer in the leader's stead, counted from the question's sending, in milliseconds. */
@@ -70,7 +74,10 @@
   .add(new Field('code', 2, 'uint32'))
   .add(new Field('token', 3, 'double'))
   .add(new Field('grantMs', 4, 'double'))
-  .add(new Field('commands', 5, 'Command', 'repeated'));
+  .add(new Field('commands', 5, 'Command', 'repeated'))
+  .add(new Field('machine', 6, 'string'))
+  .add(new Field('session', 7, 'double'))
+  .add(new Field('seq', 8, 'double'));
 
 /** Types of the messages, to be added to the root that uses them. */
 export const FORWARD_TYPES = [Task, Report, ForwardType, CommandType, AnswerType];
@@ -104,6 +111,9 @@
 
 interface WireAnswer {
   id: number;
+  machine: string;
+  session: number;
+  seq: number;
   code: number;
   token: number;
   grantMs: number;
@@ -196,5 +206,14 @@
   });
   // Whatever is not a plain answer is none.
   const code = a.code === 200 ? 200 : 503;
-  return { id: a.id, code, token: a.token as Token, grantMs: a.grantMs, commands };
+  return {
+    id: a.id,
+    machine: a.machine as MachineId,
+    session: a.session as Session,
+    seq: a.seq,
+    code,
+    token: a.token as Token,
+    grantMs: a.grantMs,
+    commands,
+  };
 }
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -137,6 +137,9 @@
 });
 const forwardAnswer = fc.record({
   id: fc.nat(),
+  machine: label as unknown as fc.Arbitrary<MachineId>,
+  session: fc.nat() as unknown as fc.Arbitrary<Session>,
+  seq: fc.nat(),
   code: fc.constantFrom(200 as const, 503 as const),
   token: fc.nat(2 ** 31 - 1) as unknown as fc.Arbitrary<Token>,
   grantMs: fc.nat(),
