A grant is for one machine, and the leader counts it in that machine's lease

Cause: by the argument a holder's grant let it renew the lease of any machine that came to it, without the leader hearing; the same leader then took that lease for over 22 s after its own last answer. Not reached in tests (such machines are given back first), but the argument was wrong. A grant now belongs to the machine whose report earned it, and the leader takes no lease for over before the grant it gave has ended.

--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -1,7 +1,7 @@
 import type { Clock, Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
 import type { Holder } from '@spurbridge/shares';
-import { Balance, Grant, Pending, Share } from '@spurbridge/shares';
+import { Balance, Pending, Share } from '@spurbridge/shares';
 import type { Leadership } from '@spurbridge/store';
 import type {
   Forward,
@@ -47,7 +47,10 @@
   /** Whether this node leads and answers reports itself. */
   readonly leads: () => boolean;
   /** A forwarded report, answered as the leader answers its own. */
-  readonly answer: (r: WorkerReport) => Exclude<ReportAnswer, { code: 421 }> & { readonly grantMs: number };
+  readonly answer: (
+    r: WorkerReport,
+    forwarded: boolean,
+  ) => Exclude<ReportAnswer, { code: 421 }> & { readonly grantMs: number };
   /** A report whose worker was answered already. */
   readonly hear: (r: WorkerReport, ageMs: number) => void;
 }
@@ -59,7 +62,6 @@
  */
 export class Holding {
   readonly share: Share;
-  private readonly grant: Grant;
   private readonly balance: Balance;
   private readonly pending: Pending<ForwardAnswer>;
   private readonly others = new Map<NodeId, Peer>();
@@ -74,7 +76,6 @@
 
   constructor(private readonly p: HoldingParts) {
     this.share = new Share(p.clock, longestReportMs(p.settings) + AWAY_MS);
-    this.grant = new Grant(p.clock);
     this.balance = new Balance(p.clock, p.settings.node);
     this.pending = new Pending(p.clock, PATIENCE_MS);
   }
@@ -134,21 +135,21 @@
       if (away !== null) return away;
       const answered = await this.forward(leader, r);
       if (answered !== null) return answered;
-      return this.underGrant() ?? { code: 503 };
+      return this.underGrant(r) ?? { code: 503 };
     }
     const now = this.p.clock.now();
     this.aloneSince ??= now;
     const known = this.p.leadership.leader();
     // A leader whose link is closed may live all the same: its workers are to find it before long.
     const isNear = known === null || now < later(this.aloneSince, ALONE_MS);
-    const granted = isNear ? this.underGrant() : null;
+    const granted = isNear ? this.underGrant(r) : null;
     if (granted !== null) return granted;
     if (known === null || known.node === this.p.settings.node) return { code: 503 };
     return { code: 421, leader: known.node };
   }
 
-  private underGrant(): ReportAnswer | null {
-    const token = this.grant.token(this.highest);
+  private underGrant(r: WorkerReport): ReportAnswer | null {
+    const token = this.share.granted(r.machine, this.highest);
     return token === null ? null : { code: 200, token, commands: [] };
   }
 
@@ -163,7 +164,8 @@
     if (a === null) return null;
     this.tokenSeen(a.token);
     if (a.code !== 200) return { code: 503 };
-    this.grant.extend(a.token, askedAt, a.grantMs);
+    this.share.reported(r);
+    this.share.extend(r.machine, a.token, askedAt, a.grantMs);
     return { code: 200, token: a.token, commands: a.commands };
   }
 
@@ -198,7 +200,7 @@
   lead(r: WorkerReport): ReportAnswer {
     const away = this.awayFor(r.machine, true);
     if (away !== null) return away;
-    const answer = this.p.answer(r);
+    const answer = this.p.answer(r, false);
     if (answer.code === 200) this.share.reported(r);
     return answer;
   }
@@ -235,7 +237,7 @@
   }
 
   private answerTo(f: Forward): ForwardAnswer {
-    const a = this.p.answer(f.report);
+    const a = this.p.answer(f.report, true);
     const { machine, session, seq } = f.report;
     const to = { id: f.id, machine, session, seq };
     if (a.code !== 200) return { ...to, code: 503, token: 0 as Token, grantMs: 0, commands: [] };
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -133,12 +133,15 @@
     this.take(r, ageMs);
   }
 
-  /** A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). */
-  report(r: WorkerReport): WorkerCommand[] | null {
+  /**
+   * A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). Another node
+   * may go on answering this machine for `grantMs`.
+   */
+  report(r: WorkerReport, grantMs = 0): WorkerCommand[] | null {
     if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
     this.take(r);
     const commands = this.ready ? this.commands.ordersFor(r) : [];
-    this.reports.answered(r);
+    this.reports.answered(r, grantMs);
     return commands;
   }
 
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -96,9 +96,9 @@
       leadership: this.leadership,
       peers: this.peers,
       leads: () => this.leads,
-      answer: (r) => {
-        const answer = this.answer(r);
-        return { ...answer, grantMs: answer.code === 200 ? this.grantMs() : 0 };
+      answer: (r, forwarded) => {
+        const grantMs = forwarded ? this.grantMs() : 0;
+        return { ...this.answer(r, grantMs), grantMs };
       },
       hear: (r, ageMs) => {
         this.saidBy(r);
@@ -249,7 +249,7 @@
   }
 
   /** A report, by this node's own or another node's connection, answered as the leader. */
-  private answer(r: WorkerReport): Exclude<ReportAnswer, { code: 421 }> {
+  private answer(r: WorkerReport, grantMs: number): Exclude<ReportAnswer, { code: 421 }> {
     this.saidBy(r);
     const { leader } = this;
     if (leader === null || !this.leads) return { code: 503 };
@@ -260,7 +260,7 @@
       this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
     )
       return { code: 503 };
-    const commands = leader.report(r);
+    const commands = leader.report(r, grantMs);
     if (commands === null) return { code: 503 };
     return { code: 200, token: this.leadership.token, commands };
   }
--- a/packages/controller/src/reports.ts
+++ b/packages/controller/src/reports.ts
@@ -61,13 +61,17 @@
     this.readTasks(m, r, now);
   }
 
-  /** Called when a report is answered with our token, with or without orders. */
-  answered(r: WorkerReport): void {
+  /**
+   * Called when a report is answered with our token, with or without orders. Its holder may renew the machine's lease
+   * for `grantMs` more without our hearing of it.
+   */
+  answered(r: WorkerReport, grantMs: number): void {
     const { clock, leadership } = this.tenure.c;
     const m = this.cluster.machines.get(r.machine);
     if (m === undefined) return;
     const now = clock.now();
     m.answeredUntil = r.token === leadership.token ? now : (Math.max(m.answeredUntil, now) as Ms);
+    m.grantedUntil = Math.max(m.grantedUntil, now + grantMs) as Ms;
   }
 
   private onNotice(m: Machine, noticeS: number, now: Ms): void {
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -62,7 +62,7 @@
     if (m.state === 'gone' || m.state === 'releasing') return;
     if (this.cluster.heldCount(m.id) > 0) {
       const surelyOver = (settings.workers.leaseS * 1000 + LEASE_MARGIN_MS) * (1 + DRIFT * 2);
-      const last = Math.max(m.answeredUntil, m.heardAt ?? electedAt);
+      const last = Math.max(m.answeredUntil, m.grantedUntil, m.heardAt ?? electedAt);
       if (now - last > surelyOver) this.cluster.clearMachine(m.id, 'lease surely over');
     }
     const silence = now - Math.max(m.heardAt ?? electedAt, electedAt);
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -34,6 +34,8 @@
   heardAt: Ms | null = null;
   /** End of the time in which some leader may have answered one of its reports. */
   answeredUntil: Ms;
+  /** Until when a holder may answer its reports under a grant of this leader. */
+  grantedUntil = 0 as Ms;
   noticeAt: Ms | null = null;
   goneBy: Ms | null = null;
   /** Images that it holds, the most recently used last, with their size. */
--- a/packages/shares/src/grant.ts
+++ b/packages/shares/src/grant.ts
@@ -6,7 +6,7 @@
 const DRIFT = 0.001;
 
 /**
- * What a leader's answer lets its holder do without it: answer reports with the leader's token and no orders, until a
+ * What a leader's answer lets its holder do without it: answer this machine's reports with the leader's token and no orders, until a
  * time by the holder's own steady clock (docs/shares.md). It ends before the leader's own horizon does: the time that
  * is left of that is counted from the sending of the question, which came before the answer.
  */
--- a/packages/shares/src/share.ts
+++ b/packages/shares/src/share.ts
@@ -1,6 +1,7 @@
 import type { Clock, Ms } from '@spurbridge/net';
 import { Transitions } from '@spurbridge/model';
-import type { MachineId, WorkerReport } from '@spurbridge/wire';
+import type { MachineId, Token, WorkerReport } from '@spurbridge/wire';
+import { Grant } from './grant.js';
 
 /**
  * `held`: its worker reports here. `moving`: it was sent to another node, and is not counted any more. `left`: not heard
@@ -18,6 +19,7 @@
   state: Membership;
   report: WorkerReport;
   at: Ms;
+  readonly grant: Grant;
 }
 
 export interface Known {
@@ -58,7 +60,7 @@
     const at = this.clock.now();
     this.lastAt = at;
     if (m === undefined) {
-      this.members.set(report.machine, { state: 'held', report, at });
+      this.members.set(report.machine, { state: 'held', report, at, grant: new Grant(this.clock) });
       this.held += 1;
       return;
     }
@@ -70,6 +72,19 @@
     this.enter(m, 'held');
   }
 
+  /**
+   * The leader answered a report of this machine, asked at `askedAt`: so long this one may be answered without it. Of no
+   * other machine, since the leader counts when each one's lease can end at the latest.
+   */
+  extend(machine: MachineId, token: Token, askedAt: Ms, leftMs: number): void {
+    this.members.get(machine)?.grant.extend(token, askedAt, leftMs);
+  }
+
+  /** The token under which this machine may be answered without the leader now, or null. */
+  granted(machine: MachineId, highestKnown: Token): Token | null {
+    return this.members.get(machine)?.grant.token(highestKnown) ?? null;
+  }
+
   /** Its worker was told to report elsewhere. */
   moved(machine: MachineId): void {
     const m = this.members.get(machine);
