--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -110,6 +110,11 @@
       })
       .then((report) => {
         if (!this.tenure.active) return;
+        // With no socket left every machine seemed silent: hundreds that lived were given back.
+        if (report === 'unasked') {
+          m.probes = Math.max(0, m.probes - 1);
+          return;
+        }
         this.tenure.reach.called(report !== null);
         if (report === null) {
           m.unansweredProbes += 1;
--- a/packages/controller/src/worker-link.ts
+++ b/packages/controller/src/worker-link.ts
@@ -17,7 +17,8 @@
     session: Session,
     commands: readonly WorkerCommand[],
   ): Promise<DirectOutcome>;
-  show(address: string): Promise<WorkerReport | null>;
+  /** Null: no answer. `unasked`: this node had no means to ask, which says nothing of the machine. */
+  show(address: string): Promise<WorkerReport | 'unasked' | null>;
   forgetAddress(address: string): void;
 }
 
@@ -84,12 +85,12 @@
     }
   }
 
-  async show(address: string): Promise<WorkerReport | null> {
+  async show(address: string): Promise<WorkerReport | 'unasked' | null> {
     try {
       const answer = await this.client(address).call('GET', PATHS.show, undefined, SHOW_MS);
       return answer.status === 200 ? parseReport(answer.body) : null;
-    } catch {
-      return null;
+    } catch (e) {
+      return e instanceof NoAnswerError && e.isOurs ? 'unasked' : null;
     }
   }
 }
--- a/packages/net/src/http.ts
+++ b/packages/net/src/http.ts
@@ -11,11 +11,16 @@
     reason: string,
     /** True when the request certainly never left this process. */
     readonly notSent: boolean,
+    /** True when this process had nothing left to send it with, such as a socket: it says nothing of the other side. */
+    readonly isOurs = false,
   ) {
     super(reason);
   }
 }
 
+/** Errors of a connection that never was, for want of something here. */
+const OURS = new Set(['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'EADDRNOTAVAIL', 'EAGAIN']);
+
 export type HttpMethod = 'GET' | 'POST' | 'DELETE';
 
 /** JSON over HTTP/1.1 to one address, on a few kept-open connections. */
@@ -51,11 +56,11 @@
       const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
       let connected = false;
       let settled = false;
-      const fail = (reason: string): void => {
+      const fail = (reason: string, isOurs = false): void => {
         if (settled) return;
         settled = true;
         clearTimeout(timer);
-        reject(new NoAnswerError(reason, !connected));
+        reject(new NoAnswerError(reason, !connected, isOurs));
         request.destroy();
       };
       const request = http.request(
@@ -105,8 +110,8 @@
         if (socket.connecting) socket.once('connect', () => (connected = true));
         else connected = true;
       });
-      request.on('error', (e) => {
-        fail(e.message);
+      request.on('error', (e: Error & { code?: string }) => {
+        fail(e.message, !connected && OURS.has(e.code ?? ''));
       });
       request.end(payload);
     });
--- a/packages/testkit/src/drawn.ts
+++ b/packages/testkit/src/drawn.ts
@@ -10,6 +10,16 @@
 export const DAY_MS = 200_000;
 export const CALM_MS = 110_000;
 
+/** A process that ended is back after one of these, in milliseconds. */
+const BACKS_MS = [50, 100, 200, 500, 2000, 8000, 10_000] as const;
+/** Ends of one node in a row, this far apart at most. */
+const ROW = 6;
+const ROW_MS = 3000;
+
+export function drawBackMs(w: World): number {
+  return BACKS_MS[w.random(BACKS_MS.length)] ?? 8000;
+}
+
 /** A small world, in which most things that can happen to a large one happen soon. */
 export function smallWorld(seed: number, over: Partial<WorldOptions> = {}): World {
   return new World({
@@ -77,14 +87,14 @@
     });
   };
   const others = ['spur-0', 'spur-1', 'spur-2'].filter((n) => n !== name);
-  switch (w.random(10)) {
+  switch (w.random(11)) {
     case 0:
       return begin(() => {
-        w.crash(node);
+        w.crash(node, drawBackMs(w));
       });
     case 1:
       return begin(() => {
-        for (let i = 0; i < (allMayCrash ? 3 : 1); i += 1) w.crash(i);
+        for (let i = 0; i < (allMayCrash ? 3 : 1); i += 1) w.crash(i, drawBackMs(w));
       });
     case 2:
       return begin(() => {
@@ -129,6 +139,12 @@
           for (const n of w.nodes) w.network.heal(n.name, id);
         });
       });
+    case 10:
+      for (let n = 0; n < ROW; n += 1)
+        w.time.after(at + n * w.random(ROW_MS), () => {
+          w.crash(node, BACKS_MS[w.random(3)]);
+        });
+      return;
     default:
   }
 }
