--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -218,10 +218,21 @@
     if (!status.ready || status.token <= this.toldTo || this.p.leads()) return;
     if (!this.p.peers.isOpen(status.node)) return;
     this.toldTo = status.token;
-    this.send(
-      status.node,
-      this.share.known().map(({ report, ageMs }) => ({ id: 0, ageMs, report })),
-    );
+    void this.tell(status.node, status.token);
+  }
+
+  /** Says what is known of every machine here, a frame at a time: all at once would be more than a link may queue. */
+  private async tell(leader: NodeId, token: Token): Promise<void> {
+    const known = this.share.known();
+    const toldAt = this.p.clock.now();
+    for (let i = 0; i < known.length && this.toldTo === token; i += FORWARDS_A_FRAME) {
+      const sinceMs = this.p.clock.now() - toldAt;
+      const forwards = known
+        .slice(i, i + FORWARDS_A_FRAME)
+        .map(({ report, ageMs }) => ({ id: 0, ageMs: ageMs + sinceMs, report }));
+      if (!this.p.peers.send(leader, { from: this.p.settings.node, forwards })) return;
+      await this.p.clock.sleep(GATHER_MS);
+    }
   }
 
   take(message: PeerMessage): void {
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,6 +1,8 @@
 import { Command } from 'commander';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
+import type { SharesPart } from './shares.js';
+import { measureShares, sharesPart } from './shares.js';
 import type { LossPart } from './state-loss.js';
 import { measureStateLoss, stateLossPart } from './state-loss.js';
 import { measureTariff, tariffPart } from './tariff.js';
@@ -23,6 +25,11 @@
     all: measureGraphs,
     part: (p) => graphsPart(p as GraphsPart),
   },
+  shares: {
+    what: 'workers held by every node: ends of nodes with and without shares',
+    all: measureShares,
+    part: (p) => sharesPart(p as SharesPart),
+  },
   'state-loss': {
     what: 'losses of the state service: noticing, rebuilding, what is lost, what it costs',
     all: measureStateLoss,
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -121,6 +121,11 @@
     this.leaseFrom = this.now;
   }
 
+  /** Highest token that it has seen. */
+  get highestToken(): number {
+    return this.token;
+  }
+
   /** Index of the node that it reports to, in the order of the nodes' names. */
   get reportsTo(): number {
     return this.node % this.world.nodes.length;
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -45,6 +45,8 @@
   readonly teams: readonly Team[];
   readonly types: readonly MachineType[];
   readonly zones: readonly string[];
+  /** Controllers; by default three. */
+  readonly nodes?: number;
   /** Machines of each type, zone and kind. */
   readonly capacity: number;
   readonly leaseS: number;
@@ -105,12 +107,16 @@
     this.network = new SimNetwork(this.time, (below) => this.random(below));
     this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE);
     this.checker = new RuleChecker(() => this.time.now, o.teams, o.cancelS * 1000);
-    for (let i = 0; i < 3; i += 1) {
+    for (let i = 0; i < this.nodeCount; i += 1) {
       const name = `spur-${i}` as NodeId;
       this.nodes.push(this.boot(name, o.zones[i % o.zones.length] as string));
     }
   }
 
+  private get nodeCount(): number {
+    return this.o.nodes ?? 3;
+  }
+
   get wallStart(): number {
     return this.o.wallStart ?? 1_700_000_000_000;
   }
@@ -165,7 +171,7 @@
       wallNow,
       newId: () => `id-${this.random(2 ** 30)}-${(this.ids += 1)}`,
       node: name,
-      nodes: 3,
+      nodes: this.nodeCount,
       limits: settings.state,
       machines: async () => (await cloud.list())?.filter((m) => m.phase === 'running').length ?? null,
       log,
@@ -257,6 +263,8 @@
       const target = this.alive(to);
       if (target === null || this.refusedLinks.has(SimNetwork.pair(name, to))) return false;
       const frame = encodePeerMessage(this.earlier.has(name) ? asBefore(message) : message);
+      this.back.frames += 1;
+      this.back.bytes += frame.length;
       this.network.send(name, to, () => {
         if (this.alive(to) !== target || !clock.alive) return;
         const decoded = decodePeerMessage(frame);
@@ -285,6 +293,8 @@
 
   private readonly receivers = new Map<string, (message: PeerMessage) => void>();
   private readonly closers = new Map<string, (node: NodeId) => void>();
+  /** Frames and bytes that controllers sent each other. */
+  readonly back = { frames: 0, bytes: 0 };
   private readonly refusedLinks = new Set<string>();
   /** Nodes of a version that knows nothing of shares. */
   readonly earlier = new Set<string>();
