--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -166,6 +166,11 @@
     return this.held.get(id)?.size ?? 0;
   }
 
+  /** Whether records or the cloud's list say that the machine was up, whoever has heard it. */
+  wasUp(m: Machine): boolean {
+    return this.heldCount(m.id) > 0 || m.listedRunning;
+  }
+
   private hold(job: Job, p: Placement): void {
     let on = this.held.get(p.machine);
     if (on === undefined) {
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -187,7 +187,7 @@
   /** Machines that may run what the records lack: listed as running, recorded, or met; not gone and not heard. */
   private isAwaited(m: Machine): boolean {
     if (m.state === 'gone' || this.heard.has(m.id)) return false;
-    return this.cluster.heldCount(m.id) > 0 || m.listedRunning || m.heardAt !== null;
+    return this.cluster.wasUp(m) || m.heardAt !== null;
   }
 
   private whatIsUnheard(): Unheard {
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -58,8 +58,9 @@
       await clock.sleep(SWEEP_MS);
       if (!this.tenure.active || !leadership.holdsSurely()) continue;
       const now = clock.now();
-      const isUp = (m: Machine): boolean => this.cluster.heldCount(m.id) > 0 || m.listedRunning;
-      this.zones.look(this.cluster.machines.values(), now, this.tenure.electedAt, isUp);
+      this.zones.look(this.cluster.machines.values(), now, this.tenure.electedAt, (m) =>
+        this.cluster.wasUp(m),
+      );
       for (const m of [...this.cluster.machines.values()]) this.sweep(m, now);
       this.sweepFleet(now);
     }
@@ -76,7 +77,7 @@
     }
     const silence = now - Math.max(m.heardAt ?? electedAt, electedAt);
     const heardBefore = m.state === 'ready' || m.state === 'draining';
-    const wasUp = m.state === 'booting' && (this.cluster.heldCount(m.id) > 0 || m.listedRunning);
+    const wasUp = m.state === 'booting' && this.cluster.wasUp(m);
     if (!(heardBefore || wasUp) || silence <= longestReportMs(settings) + 1000) return this.expire(m, now);
     if (m.probes < PROBES && this.probing < Math.max(8, settings.maxSockets * PROBE_SHARE)) {
       m.probes += 1;
@@ -149,8 +150,7 @@
         // It was up under an earlier leader: not hearing it may be this node's own fault.
         const unheardMs = now - m.firstSeen;
         const suspect = unheardMs > this.unheardMs() && (!wave || unheardMs > leaseMs);
-        const wasUp = this.cluster.heldCount(m.id) > 0 || m.listedRunning;
-        if (!wasUp || !suspect) this.sweepBooting(m, now);
+        if (!this.cluster.wasUp(m) || !suspect) this.sweepBooting(m, now);
         else if (!this.isExcused(m, now)) silent.push(m);
       } else if (m.state === 'silent') {
         if (!this.isExcused(m, now)) silent.push(m);
