--- /dev/null
+++ b/packages/controller/src/arrivals.ts
@@ -0,0 +1,71 @@
+import type { Team } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { later } from '@spurbridge/net';
+import type { JobId, JobSpec } from '@spurbridge/wire';
+import type { Estimates } from './estimates.js';
+
+/** Long enough for some jobs to arrive on a usual minute, short against the time that a machine takes to boot. */
+const WINDOW_MS = 10_000;
+/** What is usual goes by this long before. Of less than `LEAST_MS` nothing is concluded: a start is no burst. */
+const USUAL_MS = 120_000;
+const LEAST_MS = 30_000;
+/** As many more than usual arrive once in some hundred windows by chance: these deviations, and two jobs where few come. */
+const DEVIATIONS = 3;
+const SOME = 2;
+
+interface Arrival {
+  readonly at: Ms;
+  readonly team: string;
+  /** CPU seconds. */
+  readonly work: number;
+}
+
+/** Work of arrays that came lately, as a rate: a burst is met while it comes, not once its backlog is there. */
+export class Arrivals {
+  /** In the order in which they were learned. */
+  private readonly known = new Map<JobId, Arrival>();
+  private firstAt: Ms | null = null;
+
+  constructor(
+    private readonly estimates: Estimates,
+    private readonly teams: readonly Team[],
+    private readonly now: () => Ms,
+  ) {}
+
+  /** A job's record, also of one that is over: after a takeover the records say what was usual. */
+  learned(spec: JobSpec, submittedAt: Ms): void {
+    if (spec.kind !== 'array' || this.known.has(spec.id)) return;
+    this.firstAt = Math.min(this.firstAt ?? submittedAt, submittedAt) as Ms;
+    if (this.now() > later(submittedAt, USUAL_MS + WINDOW_MS)) return;
+    const work = spec.tasks * spec.cpus * this.estimates.expect(spec);
+    this.known.set(spec.id, { at: submittedAt, team: spec.team, work });
+  }
+
+  /** In a burst, the CPUs that would keep up with what arrives, of each team no more than its limit; 0: as usual. */
+  burstCpus(): number {
+    const now = this.now();
+    const since = later(now, -WINDOW_MS);
+    const usualSince = later(now, -WINDOW_MS - USUAL_MS);
+    const work = new Map<string, number>();
+    let lately = 0;
+    let before = 0;
+    for (const [id, a] of this.known) {
+      if (a.at < usualSince) this.known.delete(id);
+      else if (a.at < since) before += 1;
+      else {
+        lately += 1;
+        work.set(a.team, (work.get(a.team) ?? 0) + a.work);
+      }
+    }
+    const spanMs = Math.min(USUAL_MS, this.firstAt === null ? 0 : since - this.firstAt);
+    if (spanMs < LEAST_MS) return 0;
+    const usual = (before * WINDOW_MS) / spanMs;
+    if (lately <= usual + DEVIATIONS * Math.sqrt(usual) + SOME) return 0;
+    let cpus = 0;
+    for (const [team, sum] of work) {
+      const limit = this.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+      cpus += Math.min(limit, sum / (WINDOW_MS / 1000));
+    }
+    return cpus;
+  }
+}
--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -92,7 +92,14 @@
       job = new Job(spec, record.chunkSize, version, submittedAt, record.graph ?? null);
       if (record.phase === 'active')
         this.parts.log.debug(
-          { job: spec.id, class: spec.class, tasks: spec.tasks, team: spec.team },
+          {
+            job: spec.id,
+            class: spec.class,
+            tasks: spec.tasks,
+            cpus: spec.cpus,
+            memoryGb: spec.memoryGb,
+            team: spec.team,
+          },
           'job learned',
         );
       this.jobs.set(spec.id, job);
@@ -202,13 +209,13 @@
     this.emit('changed', job);
   }
 
-  /** The intent is durable: the start may go out. */
+  /** The intent is durable: the start may go out where there is room. */
   durable(job: Job, started: readonly { task: number; attempt: Attempt }[]): void {
     const machines = new Set<MachineId>();
     for (const s of started) {
       job.durable(s.task, s.attempt, this.now());
       const p = job.placements.get(s.task);
-      if (p?.state === 'starting') machines.add(p.machine);
+      if (p?.state === 'queued' || p?.state === 'starting') machines.add(p.machine);
     }
     for (const id of machines) this.emit('due', id);
   }
--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -3,15 +3,27 @@
 import { formatTaskName } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import { isKeptBack } from './gangs.js';
+import type { Queues } from './queues.js';
 import type { Tenure } from './tenure.js';
 
 const PUSH_ROUNDS = 5;
+/**
+ * Machines told directly at once. A start reaches its machine with the answer to its next report anyway: when two thousand
+ * were placed after a restart of all, calls to a thousand machines cost the new leader its lease.
+ */
+const MOST_PUSHES = 16;
 
 /** Tells machines what to start, stop and forget: in answers to their reports, and directly. */
 export class Commands {
+  private pushing = 0;
+  /** Machines that are to be told once there is room for a call, those with a service's or with stops first. */
+  private readonly urgent = new Set<MachineId>();
+  private readonly waiting = new Set<MachineId>();
+
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
+    private readonly queues: Queues,
     /** Takes in the report that a machine answers with. */
     private readonly onReport: (report: WorkerReport) => void,
     /** Whether what is on the machines is known; before, they are told to stop what is cancelled and nothing else. */
@@ -28,6 +40,9 @@
   ordersFor(r: WorkerReport): WorkerCommand[] {
     const m = this.cluster.machines.get(r.machine);
     if (m === undefined || m.session !== r.session || !this.tenure.c.leadership.holdsSurely()) return [];
+    this.queues.release(m.id);
+    this.urgent.delete(m.id);
+    this.waiting.delete(m.id);
     return [...this.commandsFor(m, true), ...this.cleanUp(m, r)];
   }
 
@@ -77,18 +92,41 @@
   /** Sends what is due straight to the machine, one call at a time. */
   private push(id: MachineId): void {
     const m = this.cluster.machines.get(id);
+    this.queues.sweep(id);
+    this.queues.release(id);
     if (m === undefined || m.sending || m.address === '' || m.session === null) return;
     if (m.state !== 'ready' && m.state !== 'draining') return;
+    if (this.pushing >= MOST_PUSHES) {
+      const due = this.commandsFor(m, false);
+      if (due.length > 0) (due.some((x) => this.isUrgent(x)) ? this.urgent : this.waiting).add(id);
+      return;
+    }
     m.sending = true;
+    this.pushing += 1;
     this.pushNow(m)
       .catch((e: unknown) => {
         this.tenure.c.log.error({ machine: m.id, error: String(e) }, 'direct commands failed');
       })
       .finally(() => {
         m.sending = false;
+        this.pushing -= 1;
+        this.pushNext();
       });
   }
 
+  private isUrgent(c: WorkerCommand): boolean {
+    return c.op === 'stop' || this.cluster.jobs.get(c.job)?.spec.kind === 'service';
+  }
+
+  private pushNext(): void {
+    for (const due of [this.urgent, this.waiting])
+      for (const id of due) {
+        if (!this.tenure.active || this.pushing >= MOST_PUSHES) return;
+        due.delete(id);
+        this.push(id);
+      }
+  }
+
   private async pushNow(m: Machine): Promise<void> {
     const { leadership, workers } = this.tenure.c;
     for (let round = 0; round < PUSH_ROUNDS && this.tenure.active; round += 1) {
@@ -107,6 +145,7 @@
       leadership.observe(outcome.report.token, null);
       if (!this.tenure.active) return;
       this.onReport(outcome.report);
+      this.queues.release(m.id);
       if (outcome.outcome === 'rejected') return;
     }
   }
--- a/packages/controller/src/fleet-view.ts
+++ b/packages/controller/src/fleet-view.ts
@@ -54,6 +54,13 @@
     };
   }
 
+  /** Whether services that take ordinary machines alone spread over the zones. */
+  spreads(): boolean {
+    for (const { spec, state } of this.cluster.jobs.values())
+      if (state === 'active' && spec.kind === 'service' && spec.spread && !spec.spot) return true;
+    return false;
+  }
+
   /** What the loss of one machine would leave without a place: the most that services hold on one. */
   private reserve(): number {
     let most = 0;
@@ -79,12 +86,18 @@
     let usedCpus = 0;
     let usedGpus = 0;
     let usedMemoryGb = 0;
+    let steadyCpus = 0;
+    let steadyMemoryGb = 0;
     let settled = true;
     const replicas: Replica[] = [];
     for (const { job, task } of cluster.heldOn(m.id)) {
       usedCpus += job.spec.cpus;
       usedGpus += job.spec.gpus;
       usedMemoryGb += job.spec.memoryGb;
+      if (job.spec.kind !== 'array') {
+        steadyCpus += job.spec.cpus;
+        steadyMemoryGb += job.spec.memoryGb;
+      }
       if (job.spec.kind === 'gang') settled = false;
       if (job.spec.kind !== 'service' || !consolidates) continue;
       let b = beside.get(job);
@@ -107,6 +120,8 @@
       usedCpus,
       usedGpus,
       usedMemoryGb,
+      steadyCpus,
+      steadyMemoryGb,
       takesTasks: m.takesTasks,
       images: m.images,
       replicas,
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -6,6 +6,7 @@
 import type { ListedMachine, MachineId } from '@spurbridge/wire';
 import { ABSENT, read } from '@spurbridge/wire';
 import { MAX_RELEASE, MAX_RENT } from '@spurbridge/cloud';
+import type { Arrivals } from './arrivals.js';
 import type { Cluster } from './cluster.js';
 import { compareIds } from './cluster.js';
 import { Demand, fleetView } from './fleet-view.js';
@@ -41,6 +42,7 @@
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
+    private readonly arrivals: Arrivals,
     /** Whether what is on the machines is known: none is given back as idle before. */
     private readonly mayGiveBack: () => boolean,
   ) {
@@ -173,6 +175,8 @@
           idleS: this.cluster.frugal ? IDLE_RENTED_S : IDLE_STANDING_S,
           targetCpus: target.cpus,
           targetOrdinaryCpus: target.ordinary,
+          spreads: this.demand.spreads(),
+          burstCpus: this.arrivals.burstCpus(),
           bootShare: this.cluster.frugal ? 0.5 : 0.15,
         },
         available: (type, zone, spot) => now >= (this.refusedUntil.get(`${type}/${zone}/${spot}`) ?? 0),
--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -6,7 +6,6 @@
 import type {
   Forward,
   ForwardAnswer,
-  MachineId,
   NodeId,
   PeerMessage,
   PeerStatus,
@@ -131,7 +130,7 @@
     const leader = this.leaderHere();
     if (leader !== null) {
       this.aloneSince = null;
-      const away = this.awayFor(r.machine, false);
+      const away = this.awayFor(r, false);
       if (away !== null) return away;
       const answered = await this.forward(leader, r);
       if (answered !== null) return answered;
@@ -183,22 +182,27 @@
   }
 
   /** The answer that sends this worker to a node that holds fewer, or null. */
-  awayFor(machine: MachineId, leads: boolean): { readonly code: 421; readonly leader: NodeId } | null {
+  awayFor(r: WorkerReport, leads: boolean): { readonly code: 421; readonly leader: NodeId } | null {
     const now = this.p.clock.now();
     const others: Holder[] = [];
     for (const [node, peer] of this.others)
       if (peer.status.holds && now - peer.at < PEER_MS && this.p.peers.isOpen(node))
-        others.push({ node, machines: peer.status.machines, leads: peer.status.takesReports });
-    const own = { node: this.p.settings.node, machines: this.share.size, leads };
-    const target = this.balance.target(own, others);
+        others.push({
+          node,
+          machines: peer.status.machines,
+          zone: this.p.settings.peers.find((x) => x.node === node)?.zone ?? '',
+          leads: peer.status.takesReports,
+        });
+    const own = { node: this.p.settings.node, machines: this.share.size, zone: this.p.settings.zone, leads };
+    const target = this.balance.target(own, others, r.zone);
     if (target === null) return null;
-    this.share.moved(machine);
+    this.share.moved(r.machine);
     return { code: 421, leader: target };
   }
 
   /** A report that this node answers as the leader. */
   lead(r: WorkerReport): ReportAnswer {
-    const away = this.awayFor(r.machine, true);
+    const away = this.awayFor(r, true);
     if (away !== null) return away;
     const answer = this.p.answer(r, false);
     if (answer.code === 200) this.share.reported(r);
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -1,12 +1,14 @@
 import type { Job } from '@spurbridge/model';
 import { later } from '@spurbridge/net';
 import type { JobId, JobProgress, WorkerCommand, WorkerReport } from '@spurbridge/wire';
+import { Arrivals } from './arrivals.js';
 import { Cluster } from './cluster.js';
 import { Commands } from './commands.js';
 import { Estimates } from './estimates.js';
 import { Fleet } from './fleet.js';
 import { Planning } from './planning.js';
 import { Progress } from './progress.js';
+import { Queues } from './queues.js';
 import { Recorder } from './recorder.js';
 import { JobRecords } from './records.js';
 import { Reports } from './reports.js';
@@ -52,17 +54,30 @@
     cluster.on('learned', ({ spec }) => {
       if (spec.kind !== 'service' && spec.cpus > 0) estimates.sized(spec);
     });
+    const arrivals = new Arrivals(estimates, c.settings.teams, () => c.clock.now());
     this.shown = new Progress(tenure, cluster);
-    this.records = new JobRecords(tenure, cluster);
+    this.records = new JobRecords(tenure, cluster, (record) => {
+      arrivals.learned(record.spec, later(c.clock.now(), -Math.max(0, c.wallNow() - record.at)));
+    });
     this.reports = new Reports(tenure, cluster, estimates);
     this.served = new Served(tenure, cluster);
     this.settling = new Settling(tenure, cluster, () => this.fleet.listedAt);
     const isSettled = (): boolean => this.settling.isOver;
+    const queues = new Queues(cluster, () => c.clock.now());
     const takeReport = (r: WorkerReport): void => {
-      this.take(r);
+      this.take(r, false);
+      // What it makes room for need not wait until the worker reports by itself.
+      if (queues.release(r.machine)) cluster.emit('due', r.machine);
     };
     const mayPlace = (job: Job): boolean => this.settling.mayPlace(job);
-    this.commands = new Commands(tenure, cluster, takeReport, () => this.settling.knowsMachines, mayPlace);
+    this.commands = new Commands(
+      tenure,
+      cluster,
+      queues,
+      takeReport,
+      () => this.settling.knowsMachines,
+      mayPlace,
+    );
     this.recorder = new Recorder(
       tenure,
       cluster,
@@ -71,7 +86,7 @@
       },
       (job) => this.rooms.every((room) => room.mayClose(job)),
     );
-    this.fleet = new Fleet(tenure, cluster, isSettled);
+    this.fleet = new Fleet(tenure, cluster, arrivals, isSettled);
     this.rooms = c.rooms.map((room) => room(tenure, cluster));
     this.planning = new Planning(tenure, cluster, estimates, {
       hasJoined: (job) => mayPlace(job) && this.rooms.every((room) => room.hasJoined(job)),
@@ -82,7 +97,7 @@
         this.fleet.planned(unmet);
       },
     });
-    this.sweeper = new Sweeper(tenure, cluster, this.fleet, takeReport);
+    this.sweeper = new Sweeper(tenure, cluster, this.fleet, queues, takeReport, () => this.settling.awaited);
   }
 
   /** Rebuilds from the records, then runs until deposed. */
@@ -130,7 +145,7 @@
 
   /** A report that its worker was answered for by another node, this long ago. */
   hear(r: WorkerReport, ageMs: number): void {
-    this.take(r, ageMs);
+    this.take(r, true, ageMs);
   }
 
   /**
@@ -139,14 +154,14 @@
    */
   report(r: WorkerReport, grantMs = 0): WorkerCommand[] | null {
     if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
-    this.take(r);
+    this.take(r, true);
     const commands = this.ready ? this.commands.ordersFor(r) : [];
     this.reports.answered(r, grantMs);
     return commands;
   }
 
-  private take(r: WorkerReport, ageMs = 0): void {
-    this.reports.take(r, ageMs);
+  private take(r: WorkerReport, isOwn: boolean, ageMs = 0): void {
+    this.reports.take(r, isOwn, ageMs);
     if (this.ready) this.settling.take(r);
   }
 
--- a/packages/controller/src/peers.ts
+++ b/packages/controller/src/peers.ts
@@ -3,6 +3,7 @@
 import type { NodeId, PeerMessage } from '@spurbridge/wire';
 import { decodePeerMessage, encodePeerMessage } from '@spurbridge/wire';
 import type { Log } from './log.js';
+import { Signal } from './signal.js';
 
 const STATUS_MS = 700;
 const SILENT_MS = 4000;
@@ -14,9 +15,10 @@
 /** idle -> connecting -> open -> idle; one outgoing connection per peer, receiving on incoming ones. */
 type LinkState = 'idle' | 'connecting' | 'open';
 
-class Link {
+export class Link {
   private current: LinkState = 'idle';
   private socket: net.Socket | null = null;
+  private readonly again = new Signal();
 
   constructor(
     readonly node: NodeId,
@@ -39,6 +41,14 @@
     if (wasOpen) this.closed(this.node);
   }
 
+  /**
+   * The node was heard: a link that waits to be tried again is tried now. A process that had just begun met nobody within a
+   * second and led, though others ran on: they dialled once a second.
+   */
+  heard(): void {
+    if (this.current === 'idle') this.again.raise();
+  }
+
   /** False: certainly not sent. */
   send(message: PeerMessage): boolean {
     if (this.current !== 'open' || this.socket === null) return false;
@@ -75,7 +85,7 @@
       socket.destroy();
       this.socket = null;
       this.enter('idle');
-      await this.clock.sleep(RETRY_MS);
+      await this.again.wait(this.clock, RETRY_MS);
     }
   }
 }
@@ -172,8 +182,10 @@
   private async serve(socket: net.Socket): Promise<void> {
     for await (const message of peerMessages(socket)) {
       const { status } = message;
-      if (status !== undefined)
+      if (status !== undefined) {
         this.heardAt.set(status.node, { at: this.clock.now(), stateOk: status.stateOk });
+        this.links.find((l) => l.node === status.node)?.heard();
+      }
       this.receive(message);
     }
   }
--- a/packages/controller/src/planning.ts
+++ b/packages/controller/src/planning.ts
@@ -84,7 +84,7 @@
     });
     const result = plan({ ...seen, teams });
     const gangs = new Map<JobId, Attempt>();
-    for (const s of result.starts) {
+    for (const s of [...result.starts, ...result.heads]) {
       const job = this.cluster.jobs.get(s.job);
       const machine = this.cluster.machines.get(s.machine);
       if (job === undefined || machine?.session === null || machine === undefined) continue;
--- /dev/null
+++ b/packages/controller/src/queues.ts
@@ -0,0 +1,86 @@
+import type { Job, Placement } from '@spurbridge/model';
+import { isUnsent } from '@spurbridge/model';
+import type { Ms } from '@spurbridge/net';
+import { PRIORITY_ORDER } from '@spurbridge/planner';
+import type { MachineId } from '@spurbridge/wire';
+import type { Cluster, Held } from './cluster.js';
+
+/** A head that has waited for longer than this is placed anew: what runs before it takes longer than was estimated. */
+const PATIENCE_MS = 6000;
+const EPSILON = 1e-6;
+
+/**
+ * The machines' queues (docs/queues.md): tasks whose intent is durable and that wait for room on their machine. The head of a
+ * queue starts with the answer to the very report that shows the room, without a plan and a commit between.
+ */
+export class Queues {
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly now: () => Ms,
+  ) {}
+
+  /** Lets those tasks start that the machine has room for, by priority and in the order of their placing; false: none. */
+  release(id: MachineId): boolean {
+    const queued: { job: Job; p: Placement }[] = [];
+    for (const { job, task } of this.cluster.heldOn(id)) {
+      const p = job.placements.get(task);
+      if (p?.state === 'queued' && p.stop === null) queued.push({ job, p });
+    }
+    if (queued.length === 0) return false;
+    const m = this.cluster.machines.get(id);
+    if (m === undefined || this.now() < m.refusedUntil) return false;
+    const room = this.roomOn(id, m.type);
+    queued.sort(
+      (a, b) =>
+        PRIORITY_ORDER[a.job.spec.priority] - PRIORITY_ORDER[b.job.spec.priority] ||
+        a.p.placedAt - b.p.placedAt,
+    );
+    let released = false;
+    for (const { job, p } of queued) {
+      const { cpus, gpus, memoryGb } = job.spec;
+      const fits =
+        cpus <= room.cpus + EPSILON && gpus <= room.gpus + EPSILON && memoryGb <= room.memoryGb + EPSILON;
+      if (!fits) continue;
+      room.cpus -= cpus;
+      room.gpus -= gpus;
+      room.memoryGb -= memoryGb;
+      job.roomFound(p.task, this.now());
+      released = true;
+    }
+    return released;
+  }
+
+  /** What is free beside everything that may run there; a machine of unknown type takes what its record gave it. */
+  private roomOn(id: MachineId, name: string): { cpus: number; gpus: number; memoryGb: number } {
+    const type = this.cluster.type(name);
+    const room = {
+      cpus: type?.cpus ?? Infinity,
+      gpus: type?.gpus ?? Infinity,
+      memoryGb: type?.memoryGb ?? Infinity,
+    };
+    for (const { job, task } of this.cluster.heldOn(id)) {
+      const p = job.placements.get(task);
+      if (p === undefined || p.state === 'queued' || p.state === 'intended') continue;
+      room.cpus -= job.spec.cpus;
+      room.gpus -= job.spec.gpus;
+      room.memoryGb -= job.spec.memoryGb;
+    }
+    return room;
+  }
+
+  /** Gives up what was to be stopped, waits in vain, or waits on a machine that takes no tasks: no start of it was sent. */
+  sweep(id: MachineId): void {
+    const takes = this.cluster.machines.get(id)?.takesTasks === true;
+    for (const held of [...this.cluster.heldOn(id)]) {
+      const p = held.job.placements.get(held.task);
+      if (p?.state !== 'queued' || held.job.gang !== null) continue;
+      if (p.stop !== null) this.giveUp(held, p, 'gave way');
+      else if (!takes) this.giveUp(held, p, 'its machine takes no tasks');
+      else if (this.now() - p.since > PATIENCE_MS) this.giveUp(held, p, 'its place did not come free');
+    }
+  }
+
+  private giveUp({ job }: Held, p: Placement, why: string): void {
+    if (isUnsent(p)) this.cluster.gone(job, p, false, why);
+  }
+}
--- a/packages/controller/src/records.ts
+++ b/packages/controller/src/records.ts
@@ -1,4 +1,4 @@
-import type { Job } from '@spurbridge/model';
+import type { Job, JobRecord } from '@spurbridge/model';
 import { JOB_PREFIX, TASKS_PREFIX, decodeJob } from '@spurbridge/model';
 import type { Item, Revision } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
@@ -12,6 +12,8 @@
   constructor(
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
+    /** Told of every record that is read. */
+    private readonly seen: (record: JobRecord) => void,
   ) {
     this.following = new Following(tenure, JOB_PREFIX);
   }
@@ -55,6 +57,7 @@
       this.tenure.c.log.error({ key: item.key, error: String(e) }, 'job record cannot be read');
       return null;
     }
+    this.seen(record);
     return this.cluster.learnJob(record, item.version);
   }
 
--- a/packages/controller/src/reports.ts
+++ b/packages/controller/src/reports.ts
@@ -26,10 +26,10 @@
   ) {}
 
   /**
-   * A worker's report, from a beat or the answer of a direct call; `ageMs` where another node has kept it for so long.
-   * An old one is passed over.
+   * A worker's report, made by itself (`isOwn`) or as the answer of a direct call; `ageMs` where another node has kept it for
+   * so long. An old one is passed over.
    */
-  take(r: WorkerReport, ageMs = 0): void {
+  take(r: WorkerReport, isOwn: boolean, ageMs = 0): void {
     const { clock, log } = this.tenure.c;
     const m = this.cluster.describeMachine(r.machine, r.type, r.zone, r.spot);
     const now = clock.now();
@@ -58,7 +58,7 @@
     }
     if (m.drainReason !== '' && m.state === 'ready') m.enter('draining');
     if (r.noticeS !== null && m.noticeAt === null) this.onNotice(m, r.noticeS, now);
-    this.readTasks(m, r, now);
+    this.readTasks(m, r, isOwn, now);
   }
 
   /**
@@ -90,7 +90,10 @@
     this.cluster.emit('plan');
   }
 
-  private readTasks(m: Machine, r: WorkerReport, now: Ms): void {
+  private readTasks(m: Machine, r: WorkerReport, isOwn: boolean, now: Ms): void {
+    // A start in a report's answer is executed or dropped before the worker's next own report is made, but not before it
+    // answers a direct call, which may overtake it; and the worker has shown our token, so that no earlier leader's counts.
+    const saysAll = isOwn && r.token === this.tenure.c.leadership.token;
     const reported = new Map<string, TaskReport>();
     for (const t of r.tasks) reported.set(formatTaskName(t.job, t.task), t);
     for (const { job, task } of [...this.cluster.heldOn(m.id)]) {
@@ -101,7 +104,8 @@
       if (t?.attempt === p.attempt) {
         if (t.phase === 'exited') this.onExit(m, job, p, t.cause ?? 'error', now);
         else {
-          if (p.state === 'starting' || p.state === 'intended') this.cluster.emit('changed', job);
+          if (p.state === 'starting' || p.state === 'queued' || p.state === 'intended')
+            this.cluster.emit('changed', job);
           if (t.phase === 'running' && p.state !== 'running') {
             const type = this.cluster.type(m.type);
             m.useImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0);
@@ -114,11 +118,11 @@
         }
       } else if (
         p.stop !== null &&
-        p.state === 'starting' &&
+        (p.state === 'starting' || p.state === 'queued') &&
+        saysAll &&
         !m.unanswered.has(startName(job.spec.id, task, p.attempt))
       ) {
-        // A start in a report's answer is executed or dropped before the next report is made, and no
-        // direct start is unanswered: it was never started and never will be.
+        // No direct start is unanswered either: it was never started and never will be.
         this.cluster.gone(job, p, false, 'never started');
       }
     }
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -107,6 +107,11 @@
     return { cpus: Math.max(0, u.cpus - own.cpus), gpus: Math.max(0, u.gpus - own.gpus) };
   }
 
+  /** Machines that decisions still wait for. */
+  get awaited(): number {
+    return this.current === 'settled' || this.current === 'clearing' ? 0 : this.whatIsUnheard().count;
+  }
+
   /** Whether machines may be told to start, to stop what is not known, and to forget. */
   get knowsMachines(): boolean {
     return this.current !== 'asking';
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -3,6 +3,7 @@
 import { later } from '@spurbridge/net';
 import type { Cluster } from './cluster.js';
 import type { Fleet } from './fleet.js';
+import type { Queues } from './queues.js';
 import { SAVE_MARGIN_S } from './reports.js';
 import { longestReportMs, silentAfterMs } from './settings.js';
 import type { Tenure } from './tenure.js';
@@ -29,6 +30,8 @@
 const DEAF_REPORTS = 12;
 /** Workers may all have gone to other nodes: machines must not answer calls either. */
 const DEAF_CALLS = 3;
+/** So many of the machines may be the last ones that decisions wait for. */
+const LAST_SHARE = 0.05;
 /** After a takeover, workers find the new leader with their next report, or with the one after. */
 const FIND_MS = 3250;
 
@@ -43,8 +46,11 @@
     private readonly tenure: Tenure,
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
+    private readonly queues: Queues,
     /** Takes in the report that a machine answers with. */
     private readonly onReport: (report: WorkerReport) => void,
+    /** Machines that decisions wait for, after a start at which nobody remembers anything. */
+    private readonly awaited: () => number,
   ) {
     const { settings, log } = tenure.c;
     this.zones = new Zones(longestReportMs(settings), (fields) => {
@@ -70,6 +76,7 @@
     const { settings, log } = this.tenure.c;
     const { electedAt } = this.tenure;
     if (m.state === 'gone' || m.state === 'releasing') return;
+    this.queues.sweep(m.id);
     if (this.cluster.heldCount(m.id) > 0) {
       const surelyOver = (settings.workers.leaseS * 1000 + LEASE_MARGIN_MS) * (1 + DRIFT * 2);
       const last = Math.max(m.answeredUntil, m.grantedUntil, m.heardAt ?? electedAt);
@@ -144,14 +151,15 @@
     const wave = this.fleet.isComingIn(now);
     const leaseMs = this.tenure.c.settings.workers.leaseS * 1000;
     const draining: Machine[] = [];
+    const unheard: Machine[] = [];
     let heard = 0;
     for (const m of this.cluster.machines.values()) {
       if (m.state === 'booting') {
         // It was up under an earlier leader: not hearing it may be this node's own fault.
         const unheardMs = now - m.firstSeen;
         const suspect = unheardMs > this.unheardMs() && (!wave || unheardMs > leaseMs);
-        if (!this.cluster.wasUp(m) || !suspect) this.sweepBooting(m, now);
-        else if (!this.isExcused(m, now)) silent.push(m);
+        if (!this.cluster.wasUp(m)) this.sweepBooting(m, now);
+        else if (!this.isExcused(m, now)) (suspect ? silent : unheard).push(m);
       } else if (m.state === 'silent') {
         if (!this.isExcused(m, now)) silent.push(m);
       } else if (m.state === 'ready') heard += 1;
@@ -170,13 +178,17 @@
       if (this.tenure.c.leadership.mayResign())
         return this.resign('most machines are silent: the fault may be here');
     }
-    for (const m of silent) {
+    // The last few of a fleet that everything waits for are given back as soon as they leave two questions unanswered: dead
+    // ones, still listed as running, kept a whole fleet from any start for twelve seconds.
+    const awaited = this.awaited();
+    const isLast = awaited > 0 && awaited <= Math.max(2, heard * LAST_SHARE);
+    for (const m of isLast ? [...silent, ...unheard] : silent) {
       const last = m.heardAt ?? m.firstSeen;
       const patienceMs =
         m.state === 'booting'
           ? this.unheardMs() + 6000
           : silentAfterMs(this.tenure.c.settings) + SILENT_RELEASE_MS;
-      if ((now - last > patienceMs && isUnreachable(m)) || m.goneBy !== null)
+      if (((isLast || now - last > patienceMs) && isUnreachable(m)) || m.goneBy !== null)
         this.fleet.giveBack(m, 'silent');
     }
   }
--- a/packages/controller/src/view.ts
+++ b/packages/controller/src/view.ts
@@ -9,6 +9,11 @@
 
 /** Starting value of the design: seconds of summed waiting after which a job goes first. */
 const STARVATION_S = 30;
+/**
+ * Room that is expected to come free within this is given to a task now: its intent is durable by then, and it starts with the
+ * report that shows the room. Longer, and estimates are too far off to tie a task to one machine.
+ */
+const HEAD_S = 0.5;
 /** Tasks of one job that one plan looks at. */
 const PLAN_TASKS = 200;
 
@@ -16,6 +21,7 @@
   const spec = job.spec;
   const ranS = p.runningAt === null ? 0 : (now - p.runningAt) / 1000;
   const overS = expectedS - ranS;
+  const isWaiting = p.state === 'intended' || p.state === 'queued';
   // Past its estimate, a task is expected to take a share longer of what it took already.
   const remainingS = p.stop !== null ? 0.5 : overS > 0.5 ? overS : Math.max(0.5, ranS * 0.25);
   return {
@@ -25,7 +31,7 @@
     gpus: spec.gpus,
     memoryGb: spec.memoryGb,
     remainingS: spec.kind === 'service' && p.stop === null ? Infinity : remainingS,
-    lostS: spec.checkpointS > 0 ? Math.min(ranS, 1) : (now - p.placedAt) / 1000,
+    lostS: isWaiting ? 0 : spec.checkpointS > 0 ? Math.min(ranS, 1) : (now - p.placedAt) / 1000,
     priority: spec.priority,
     team: spec.team,
     stopping: p.stop !== null,
@@ -96,6 +102,7 @@
     machines,
     teams: settings.teams,
     starvationS: STARVATION_S,
+    headS: HEAD_S,
     frugal: cluster.frugal,
     typicalTask: estimates.typicalTask(),
   };
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,6 +1,8 @@
 import { Command } from 'commander';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
+import type { PlansPart } from './plans.js';
+import { measurePlans, plansPart } from './plans.js';
 import type { SharesPart } from './shares.js';
 import { measureShares, sharesPart } from './shares.js';
 import type { LossPart } from './state-loss.js';
@@ -25,6 +27,11 @@
     all: measureGraphs,
     part: (p) => graphsPart(p as GraphsPart),
   },
+  plans: {
+    what: 'what one plan costs by the size of the fleet',
+    all: measurePlans,
+    part: (p) => Promise.resolve(plansPart(p as PlansPart)),
+  },
   shares: {
     what: 'workers held by every node: ends of nodes with and without shares',
     all: measureShares,
--- a/packages/measure/src/orders.ts
+++ b/packages/measure/src/orders.ts
@@ -107,6 +107,7 @@
         machines: machines.map((on, i) => machineOf(on, i, now)),
         teams: [TEAM],
         starvationS: STARVATION_S,
+        headS: 0,
         frugal: false,
         typicalTask: null,
       });
--- a/packages/measure/src/own/index.ts
+++ b/packages/measure/src/own/index.ts
@@ -13,7 +13,7 @@
 import type { DayResult, Limits } from './report.js';
 import { printDay, printEnd, readDay } from './report.js';
 import type { Variation } from './variant.js';
-import { dayNames, machinesOf, ownDays, readSite, vary, withDays, writeSite } from './variant.js';
+import { SiteError, dayNames, machinesOf, ownDays, readSite, vary, withDays, writeSite } from './variant.js';
 
 /** Our own days, in the bench's form. */
 const DAYS = 'days/bench';
@@ -85,6 +85,9 @@
   const folder = mkdtempSync(join(tmpdir(), 'own-'));
   try {
     const plays = o.sites.flatMap((path) => prepare(folder, path, o));
+    // A name that no site knows played nothing, and nothing had failed.
+    const unknown = o.days.filter((name) => !plays.some((p) => p.day === name));
+    if (unknown.length > 0) throw new SiteError(`--days: no site has a day called ${unknown.join(', ')}`);
     const results: DayResult[] = [];
     let next = 0;
     const work = async (): Promise<void> => {
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,6 +1,7 @@
 export * from './gang.js';
 export * from './job.js';
 export type { Placement, PlacementState, StopReason } from './placement.js';
+export { isUnsent } from './placement.js';
 export * from './machine.js';
 export * from './record.js';
 export * from './admission.js';
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -1,6 +1,8 @@
 import { fitsType } from '@spurbridge/model';
 import type { JobSpec, MachineId, MachineType } from '@spurbridge/wire';
+import { keepPace } from './pace.js';
 import type { Unmet } from './plan/index.js';
+import { Reserve } from './reserve.js';
 
 export interface FleetMachine {
   readonly id: MachineId;
@@ -18,6 +20,9 @@
   /** Services' tasks on it. */
   readonly replicas: readonly Replica[];
   readonly usedMemoryGb: number;
+  /** Of that, what cannot be stopped for a service: services and gangs. */
+  readonly steadyCpus: number;
+  readonly steadyMemoryGb: number;
   /** Nothing on it started or was stopped lately, and nothing on it keeps it from being drained. */
   readonly settled: boolean;
 }
@@ -57,6 +62,10 @@
   /** CPUs, in use or free, that the recent past says will be needed. */
   readonly targetCpus: number;
   readonly targetOrdinaryCpus: number;
+  /** In a burst, the CPUs that would keep up with the arrays that arrive; 0: they come as usual. */
+  readonly burstCpus: number;
+  /** Whether services spread over the zones: spare ordinary room is kept in more than one. */
+  readonly spreads: boolean;
   /** Whether money is weighed against speed: spare machines go back, and dear ones are a last resort. */
   readonly frugal: boolean;
   /** Whether to look for a machine that can be emptied: that is dear, and need not be done each time. */
@@ -151,9 +160,13 @@
   };
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
   for (const u of input.unmet) if (u.withinLimit) meet(input, u, coming, rents, perZone, attention);
-  keepReserve(input, rents);
-  const release = surplus(input);
-  const drain = release.length > 0 || !input.policy.consolidates ? null : consolidate(input);
+  keepPace(input, rents, attention());
+  // Until it is needed the reserve is open to work that can be stopped: replicas of a lost machine must find room at once, and a
+  // boot later is too late.
+  const reserve = new Reserve(input);
+  const release = surplus(input, reserve);
+  const drain = release.length > 0 || !input.policy.consolidates ? null : consolidate(input, reserve);
+  if (input.policy.frugal) reserve.keep(rents);
   if (drain?.swapCpus !== undefined) swap(input, drain.swapCpus, rents);
   return {
     rent: [...rents.values()],
@@ -221,7 +234,8 @@
       for (const z of zones)
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (!allowed(type, z, spot) || !input.available(type.name, z, spot)) continue;
-          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type)) continue;
+          if (input.policy.frugal && spec.spot && !spot && !pressing(u, type, input.policy.burstCpus > 0))
+            continue;
           const places = placesOn(spec, type);
           const fit = Math.min(left, places * turns(u, type.bootS));
           if (fit < 1) continue;
@@ -306,16 +320,19 @@
 }
 
 const LATE_START_S = 30;
+/** A queue of so many times the time that a machine takes to boot is no chance. */
+const LONG_QUEUE = 2;
 
 /** Ordinary machines for work that may use spot ones: only where its deadline would be missed. */
-function pressing(u: Unmet, type: MachineType): boolean {
+function pressing(u: Unmet, type: MachineType, isBurst: boolean): boolean {
   const { spec, ageS, estimateS } = u.job;
-  if (spec.deadlineS === null) {
-    // In a burst, waiting until a job is late rents machines that come up when all are late.
-    const queuedS = ageS + u.startsInS * IN_TURN + estimateS * IN_TURN;
-    const rentedS = ageS + type.bootS + spec.imageGb / type.fetchGbPerS + estimateS;
-    return ageS > LATE_START_S || u.job.milestonesS.some((m) => queuedS > m && rentedS <= m);
-  }
+  const queuedS = ageS + u.startsInS * IN_TURN + estimateS * IN_TURN;
+  const rentedS = ageS + type.bootS + spec.imageGb / type.fetchGbPerS + estimateS;
+  const helps = u.job.milestonesS.some((m) => queuedS > m && rentedS <= m);
+  if (spec.deadlineS === null) return ageS > LATE_START_S || helps;
+  // In a burst, waiting until a job is late rents machines that come up when all are late. On a usual minute the queue is
+  // shorter than it seems, and spot machines will do.
+  if (helps && (isBurst || u.startsInS > type.bootS * LONG_QUEUE)) return true;
   return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
 
@@ -326,18 +343,17 @@
 }
 
 /** The machine whose emptying saves most for each replica that has to move, if they all fit elsewhere. */
-function consolidate(input: FleetInput): Emptied | null {
+function consolidate(input: FleetInput, reserve: Reserve): Emptied | null {
   const { policy } = input;
   const waits = (u: Unmet): boolean => u.job.spec.kind === 'service' || u.startsInS > WAITS_S;
   if (!policy.frugal || input.unmet.some((u) => u.withinLimit && waits(u))) return null;
   if (input.machines.some((m) => m.booting)) return null;
   const ready = input.machines.filter((m) => m.takesTasks);
   const total = ready.reduce((sum, m) => sum + m.type.cpus, 0);
-  const ordinary = ready.reduce((sum, m) => sum + (m.spot ? 0 : m.type.cpus), 0);
   const options: { machine: FleetMachine; gain: number; missing: number }[] = [];
   for (const m of ready) {
     if (!m.returnable || m.replicas.length === 0 || !m.settled) continue;
-    if (!m.spot && ordinary - m.type.cpus < policy.targetOrdinaryCpus) continue;
+    if (!m.spot && !reserve.maySpare(m)) continue;
     const missing = policy.targetCpus - (total - m.type.cpus);
     if (m.spot && missing > 0) continue;
     const price = m.spot ? m.type.spotPrice : m.type.price;
@@ -370,35 +386,6 @@
     rents.set(`swap/${best.type.name}`, { type: best.type.name, zone: best.zone, spot: true, count: 1 });
 }
 
-/**
- * Rents up to what the services need with one machine lost: their replicas must find room at once, and
- * a boot later is too late. Until then the reserve is open to work that can be stopped for them.
- */
-function keepReserve(
-  input: FleetInput,
-  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
-): void {
-  if (!input.policy.frugal) return;
-  let ordinary = 0;
-  for (const m of input.machines) if (!m.spot && (m.takesTasks || m.booting)) ordinary += m.type.cpus;
-  for (const r of rents.values())
-    if (!r.spot) ordinary += r.count * (input.types.find((t) => t.name === r.type)?.cpus ?? 0);
-  const missing = input.policy.targetOrdinaryCpus - ordinary;
-  if (missing <= 0) return;
-  let best: { type: MachineType; zone: string; score: number } | null = null;
-  for (const type of input.types)
-    for (const zone of type.zones) {
-      if (!input.available(type.name, zone, false)) continue;
-      const score = type.price / Math.min(type.cpus, missing);
-      if (best === null || score < best.score) best = { type, zone, score };
-    }
-  if (best === null) return;
-  const key = `${best.type.name}/${best.zone}/false`;
-  const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: false, count: 0 };
-  rent.count += 1;
-  rents.set(key, rent);
-}
-
 /** Queued work that starts this soon is no reason to keep a machine. */
 const WAITS_S = 10;
 const LEAST_SWAP_CPUS = 8;
@@ -442,18 +429,13 @@
 /** Spot machines are cheap to keep: they are given back this many times later. */
 const SPOT_KEEP = 2;
 
-function surplus(input: FleetInput): MachineId[] {
+function surplus(input: FleetInput, reserve: Reserve): MachineId[] {
   const { policy } = input;
   // Work that waits for machines of one kind is no reason to keep others that it may not use.
   const wanted = (m: FleetMachine): boolean =>
     input.unmet.some((u) => u.withinLimit && (!m.spot || u.job.spec.spot) && fitsType(u.job.spec, m.type));
   let total = 0;
-  let ordinary = 0;
-  for (const m of input.machines) {
-    if (!m.takesTasks && !m.booting) continue;
-    total += m.type.cpus;
-    if (!m.spot) ordinary += m.type.cpus;
-  }
+  for (const m of input.machines) if (m.takesTasks || m.booting) total += m.type.cpus;
   const price = (m: FleetMachine): number => (m.spot ? m.type.spotPrice : m.type.price) / m.type.cpus;
   const release: MachineId[] = [];
   const idle = input.machines
@@ -468,9 +450,9 @@
     .sort((a, b) => price(b) - price(a));
   for (const m of idle) {
     if (total - m.type.cpus < policy.targetCpus) continue;
-    if (!m.spot && ordinary - m.type.cpus < policy.targetOrdinaryCpus) continue;
+    if (!m.spot && !reserve.maySpare(m)) continue;
     total -= m.type.cpus;
-    if (!m.spot) ordinary -= m.type.cpus;
+    if (!m.spot) reserve.spared(m);
     release.push(m.id);
   }
   return release;
--- a/packages/planner/src/heap.ts
+++ b/packages/planner/src/heap.ts
@@ -43,7 +43,7 @@
   }
 }
 
-/** The same for numbers alone, filled at once: the planner makes one for every job that it looks at. */
+/** The same for numbers alone: the planner makes one for every job that it looks at. */
 export class NumberHeap {
   private readonly items: number[] = [];
 
@@ -51,13 +51,17 @@
     return this.items[0];
   }
 
-  /** Adds without putting in order: `arrange` is called once all are there. */
-  append(item: number): void {
-    this.items.push(item);
-  }
-
-  arrange(): void {
-    for (let i = (this.items.length >> 1) - 1; i >= 0; i -= 1) this.sink(i);
+  push(item: number): void {
+    const { items } = this;
+    let at = items.push(item) - 1;
+    while (at > 0) {
+      const parent = (at - 1) >> 1;
+      const above = items[parent] as number;
+      if (item >= above) break;
+      items[at] = above;
+      at = parent;
+    }
+    items[at] = item;
   }
 
   replaceTop(item: number): void {
--- /dev/null
+++ b/packages/planner/src/pace.ts
@@ -0,0 +1,57 @@
+import { fitsType } from '@spurbridge/model';
+import type { MachineType } from '@spurbridge/wire';
+import type { FleetInput, Rent } from './fleet.js';
+import type { Unmet } from './plan/index.js';
+
+/** Arrivals are uneven: so much more than the fleet must come before it is a burst. */
+const BURST = 1.2;
+
+/**
+ * Rents for the work that arrives while machines boot. Met only once each job was predicted to be late, a burst of a minute
+ * had its machines half a minute after its end, and they worked off what was late already.
+ */
+export function keepPace(
+  input: FleetInput,
+  rents: Map<string, { -readonly [K in keyof Rent]: Rent[K] }>,
+  /** What looking after one more machine is taken to cost. */
+  attention: number,
+): void {
+  const { policy, types, machines, available } = input;
+  const waiting = input.unmet.find(isWaiting);
+  if (!policy.frugal || waiting === undefined) return;
+  let capacity = 0;
+  for (const m of machines) if (m.takesTasks || m.booting) capacity += m.type.cpus - m.steadyCpus;
+  for (const r of rents.values()) capacity += r.count * (types.find((t) => t.name === r.type)?.cpus ?? 0);
+  if (policy.burstCpus < capacity * BURST) return;
+  const { spec } = waiting.job;
+  const options: { type: MachineType; zone: string; spot: boolean; score: number }[] = [];
+  for (const type of types)
+    for (const zone of type.zones)
+      for (const spot of spec.spot ? [true, false] : [false]) {
+        if (!fitsType(spec, type) || (spec.zone !== null && spec.zone !== zone)) continue;
+        if (!available(type.name, zone, spot)) continue;
+        const places = Math.max(1, Math.floor(type.cpus / Math.max(spec.cpus, 0.01)));
+        options.push({
+          type,
+          zone,
+          spot,
+          score: ((spot ? type.spotPrice : type.price) + attention) / places,
+        });
+      }
+  options.sort((a, b) => a.score - b.score);
+  // The cheapest kind that there may be; what it cannot give is asked of the next one after its refusal.
+  const [best] = options;
+  if (best === undefined) return;
+  const count = Math.ceil((policy.burstCpus - capacity) / best.type.cpus);
+  const alike = options.filter((o) => o.type === best.type && o.spot === best.spot);
+  for (const [i, o] of alike.entries()) {
+    const key = `${o.type.name}/${o.zone}/${o.spot}`;
+    const rent = rents.get(key) ?? { type: o.type.name, zone: o.zone, spot: o.spot, count: 0 };
+    rent.count += Math.floor((count + i) / alike.length);
+    if (rent.count > 0) rents.set(key, rent);
+  }
+}
+
+function isWaiting(u: Unmet): boolean {
+  return u.job.spec.kind === 'array' && u.withinLimit && u.startsInS > 0;
+}
--- a/packages/planner/src/plan/bounds.ts
+++ b/packages/planner/src/plan/bounds.ts
@@ -18,7 +18,13 @@
   const key = `${spec.kind}|${spec.team}|${spec.priority}|${spec.cpus}|${spec.gpus}|${spec.memoryGb}|${spec.spot}|${spec.zone ?? ''}|${types}|${guaranteed}`;
   let kind = g.kinds.get(key);
   if (kind === undefined) {
-    kind = { sample: job, left: 0, cursor: 0, mayPreempt: mayPreempt(g, job, guaranteed) };
+    kind = {
+      sample: job,
+      left: 0,
+      order: g.sized(spec, null),
+      cursor: 0,
+      mayPreempt: mayPreempt(g, job, guaranteed),
+    };
     g.kinds.set(key, kind);
   }
   kind.left += 1;
@@ -43,10 +49,12 @@
 }
 
 export function startsNow(g: Ground, k: Kind): boolean {
-  for (; k.cursor < g.queues.length; k.cursor += 1) {
-    const q = g.queues[k.cursor] as Queue;
+  const headS = g.headS(k.sample);
+  const { order } = k;
+  for (; k.cursor < order.size && (order.fromS[k.cursor] as number) <= headS; k.cursor += 1) {
+    const q = g.queues[order.at[k.cursor] as number] as Queue;
     g.steps += 1;
-    if (q.fitsNow(k.sample.spec) && allows(k.sample, q.machine)) return true;
+    if (q.fitsBy(k.sample.spec, headS) && allows(k.sample, q.machine)) return true;
   }
   return false;
 }
--- a/packages/planner/src/plan/evaluate.ts
+++ b/packages/planner/src/plan/evaluate.ts
@@ -1,12 +1,12 @@
 import type { JobView } from '../snapshot.js';
 import { NumberHeap } from '../heap.js';
 import type { Ground } from './ground.js';
+import { SAME_S } from './ground.js';
 import type { Queue } from './queue.js';
+import type { Sized } from './sized.js';
 import type { Choice, Evaluation } from './types.js';
 import { allows, fetchSeconds } from './types.js';
 
-/** Differences in completion below this are no reason to prefer one machine to another. */
-const SAME_S = 0.5;
 /** A service that takes a whole task's place on a machine is worth waiting this long to avoid. */
 const FRAGMENT_S = 2;
 /** A service that would serve later than its aim rather takes a whole task's place. */
@@ -22,6 +22,14 @@
 /** More than the tasks of one job that a plan puts on one machine. */
 const USES = 1024;
 
+/** Queues that are looked at in turn. */
+interface Front {
+  readonly heap: NumberHeap;
+  readonly order: Sized;
+  /** The next place in the order that was not looked at. */
+  next: number;
+}
+
 /** Where each task would go, and when the job would complete; changes nothing. */
 export function evaluate(g: Ground, job: JobView): Evaluation {
   const spec = job.spec;
@@ -81,24 +89,38 @@
   const key = (at: number): number =>
     ((g.bucket[at] as number) * USES + (balanced ? (uses[at] as number) : 0)) * n + (place[at] as number);
   // One heap of machines for each zone where the zones are to be balanced, otherwise one for all.
-  const heaps = Array.from({ length: balanced ? g.zones.length : 1 }, () => new NumberHeap());
-  const heapOf = (at: number): NumberHeap => heaps[balanced ? (g.zoneOf[at] as number) : 0] as NumberHeap;
-  for (let at = 0; at < n; at += 1) {
-    const q = g.queues[at] as Queue;
-    const m = q.machine;
-    if ((zone !== null && m.zone !== zone) || !allows(job, m) || (job.avoid.size > 0 && job.avoid.has(m.id)))
-      continue;
-    uses[at] = 0;
-    if (estimate(g, job, at, q)) heapOf(at).append(key(at));
-  }
-  for (const h of heaps) h.arrange();
+  const zones = zone !== null ? [zone] : balanced ? g.zones : [null];
+  const fronts = zones.map((z) => ({ heap: new NumberHeap(), order: g.sized(spec, z), next: 0 }));
+  const frontOf = (at: number): Front => fronts[zones.length > 1 ? (g.zoneOf[at] as number) : 0] as Front;
+  const leastRunS = service ? 0 : Math.max(job.estimateS, 0.5) * g.leastSlowness;
+  // Queues come into the heap only as far as their lower bound is no worse than what is on top of it.
+  const fill = (f: Front): void => {
+    const { heap, order } = f;
+    while (f.next < order.size) {
+      const top = heap.peek();
+      const at = order.at[f.next] as number;
+      const least = Math.floor(((order.fromS[f.next] as number) + leastRunS) / SAME_S) * USES * n;
+      // The plain plan looks at all of them.
+      if (top !== undefined && least + (place[at] as number) > top && g.options.exhaustive !== true) return;
+      const q = g.queues[at] as Queue;
+      order.looked(f.next, q);
+      f.next += 1;
+      const m = q.machine;
+      if (!allows(job, m) || (job.avoid.size > 0 && job.avoid.has(m.id))) continue;
+      uses[at] = 0;
+      if (estimate(g, job, at, q)) heap.push(key(at));
+    }
+  };
   const choices: Choice[] = [];
   let completionS = 0;
   for (const task of job.pending) {
     let best = -1;
     let least = Infinity;
-    for (const h of heaps) {
-      const top = h.peek();
+    for (const [i, f] of fronts.entries()) {
+      // A zone that may take no more need not be looked at.
+      if (balanced && zone === null && (perZone[i] as number) >= zoneMost) continue;
+      fill(f);
+      const top = f.heap.peek();
       if (top === undefined) continue;
       const at = g.atPlace[top % n] as number;
       const inZone = perZone[g.zoneOf[at] as number] as number;
@@ -126,8 +148,9 @@
     uses[best] = (uses[best] as number) + 1;
     const z = g.zoneOf[best] as number;
     perZone[z] = (perZone[z] as number) + 1;
-    if (estimate(g, job, best, q.after)) heapOf(best).replaceTop(key(best));
-    else heapOf(best).pop();
+    const { heap } = frontOf(best);
+    if (estimate(g, job, best, q.after)) heap.replaceTop(key(best));
+    else heap.pop();
   }
   const unplaced = job.pending.length - choices.length;
   if (unplaced > 0) completionS = Infinity;
--- a/packages/planner/src/plan/ground.ts
+++ b/packages/planner/src/plan/ground.ts
@@ -1,18 +1,27 @@
-import type { JobId } from '@spurbridge/wire';
-import type { JobView, Snapshot } from '../snapshot.js';
+import type { JobId, JobSpec } from '@spurbridge/wire';
+import type { JobView, Occupant, Snapshot } from '../snapshot.js';
 import { PRIORITY_ORDER } from '../snapshot.js';
 import { withinGuarantee } from './guarantees.js';
 import type { Pool } from './pool.js';
+import type { Sites } from './preempt.js';
 import type { Pooled } from './queue.js';
 import { Queue } from './queue.js';
+import { Sized, sizeClass } from './sized.js';
 import type { Choice, Evaluation, Kind, PlanOptions, Start, Stop, Unmet } from './types.js';
 
+/** Differences in completion below this are no reason to prefer one machine to another. */
+export const SAME_S = 0.5;
+
 /** What the steps of one plan share: the queues as they fill, what the teams have left, and what was decided. */
 export class Ground {
   readonly queues: Queue[];
   readonly room: Map<string, { cpus: number; gpus: number }>;
   readonly starts: Start[] = [];
+  readonly heads: Start[] = [];
   readonly stops: Stop[] = [];
+  /** What these stop. */
+  readonly stopped = new Set<Occupant>();
+  readonly sites: Sites = new Map();
   readonly unmet: Unmet[] = [];
   readonly guaranteed: Set<JobView>;
   readonly beyond: ReadonlySet<JobId>;
@@ -35,6 +44,10 @@
   readonly atPlace: number[];
   readonly zoneOf: Int32Array;
   readonly zones: string[] = [];
+  /** The fastest that any machine was seen to be. */
+  readonly leastSlowness: number;
+  private readonly orders = new Map<string, Sized>();
+  private readonly inZone = new Map<string | null, readonly number[]>();
 
   constructor(
     readonly s: Snapshot,
@@ -65,6 +78,16 @@
       if (zone < 0) zone = this.zones.push(m.zone) - 1;
       this.zoneOf[i] = zone;
     });
+    this.leastSlowness = this.queues.reduce((least, q) => Math.min(least, q.machine.slowness), 1);
+    this.inZone.set(
+      null,
+      this.queues.map((_, i) => i),
+    );
+    for (const [z, name] of this.zones.entries())
+      this.inZone.set(
+        name,
+        this.queues.map((_, i) => i).filter((i) => this.zoneOf[i] === z),
+      );
     this.atPlace = this.queues.map((_, i) => i);
     this.atPlace.sort((a, b) => (rank[a] as number) - (rank[b] as number) || a - b);
     this.place = new Int32Array(n);
@@ -87,6 +110,18 @@
       }
   }
 
+  /** Queues, of one zone or of all, in the order of when a task as small as any of this class could start. */
+  sized(spec: JobSpec, zone: string | null): Sized {
+    const { key, cpus, gpus } = sizeClass(spec);
+    const name = zone === null ? key : `${key}/${zone}`;
+    let order = this.orders.get(name);
+    if (order === undefined || order.isStale) {
+      order = new Sized(this.queues, cpus, gpus, this.inZone.get(zone) ?? [], this.place, SAME_S);
+      this.orders.set(name, order);
+    }
+    return order;
+  }
+
   waits(
     job: JobView,
     tasks: number,
@@ -102,10 +137,28 @@
     return this.zones[this.zoneOf[at] as number] as string;
   }
 
+  /**
+   * Within this a replica may be placed ahead of its room. A gang's tasks all start at once. Tasks of arrays took the room that
+   * was being freed for a service, were stopped for it and took it again; and placed ahead by estimates they waited behind
+   * longer ones while others found room (docs/results.md).
+   */
+  headS(job: JobView): number {
+    return job.spec.kind === 'service' ? this.s.headS : 0;
+  }
+
   start(job: JobView, c: Choice, room: { cpus: number; gpus: number }): void {
     room.cpus -= job.spec.cpus;
     room.gpus -= job.spec.gpus;
-    this.starts.push({ job: job.spec.id, task: c.task, machine: (this.queues[c.at] as Queue).machine.id });
+    (c.startS <= 0 ? this.starts : this.heads).push({
+      job: job.spec.id,
+      task: c.task,
+      machine: (this.queues[c.at] as Queue).machine.id,
+    });
+  }
+
+  stop(o: Occupant, inFavourOf: JobId): void {
+    this.stopped.add(o);
+    this.stops.push({ job: o.job, task: o.task, inFavourOf });
   }
 
   adopt(e: Evaluation): void {
--- a/packages/planner/src/plan/index.ts
+++ b/packages/planner/src/plan/index.ts
@@ -33,7 +33,7 @@
     else list.push(j);
   }
   for (const t of [...tiers.keys()].sort((a, b) => a - b)) planTier(g, tiers.get(t) ?? []);
-  return { starts: g.starts, stops: g.stops, unmet: g.unmet, steps: g.steps };
+  return { starts: g.starts, heads: g.heads, stops: g.stops, unmet: g.unmet, steps: g.steps };
 }
 
 /**
--- a/packages/planner/src/plan/preempt.ts
+++ b/packages/planner/src/plan/preempt.ts
@@ -1,7 +1,6 @@
-import type { JobView, Occupant } from '../snapshot.js';
+import type { JobView, MachineView, Occupant } from '../snapshot.js';
 import { PRIORITY_ORDER } from '../snapshot.js';
 import type { Ground } from './ground.js';
-import type { Stop } from './types.js';
 import { EPSILON } from './epsilon.js';
 import { allows, fetchSeconds } from './types.js';
 
@@ -19,6 +18,66 @@
   return false;
 }
 
+/** A machine on which something may be stopped, or is being stopped, for jobs of some kind. */
+interface Site {
+  readonly machine: MachineView;
+  /** What may be stopped, that which loses least first. */
+  readonly victims: readonly Occupant[];
+  readonly stopping: boolean;
+  /** Free but for what is being stopped. */
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+/** Sites by what their victims depend on, kept for one plan: many jobs of a kind look for room. */
+export type Sites = Map<string, readonly Site[]>;
+
+function sitesFor(g: Ground, job: JobView, guaranteed: boolean): readonly Site[] {
+  const rank = PRIORITY_ORDER[job.spec.priority];
+  const key = guaranteed ? `${rank}/${job.spec.team}` : `${rank}`;
+  let sites = g.sites.get(key);
+  if (sites === undefined) {
+    sites = findSites(g, rank, guaranteed ? job.spec.team : null);
+    g.sites.set(key, sites);
+  }
+  return sites;
+}
+
+function findSites(g: Ground, rank: number, guaranteedTeam: string | null): Site[] {
+  const sites: Site[] = [];
+  for (const m of g.s.machines) {
+    g.steps += 1;
+    if (!m.takesTasks) continue;
+    let { cpus, gpus, memoryGb } = m.type;
+    let stopping = false;
+    const victims: Occupant[] = [];
+    for (const o of m.occupants) {
+      if (o.stopping) {
+        stopping = true;
+        continue;
+      }
+      cpus -= o.cpus;
+      gpus -= o.gpus;
+      memoryGb -= o.memoryGb;
+      const order = PRIORITY_ORDER[o.priority];
+      const isBeyond = guaranteedTeam !== null && o.team !== guaranteedTeam && g.beyond.has(o.job);
+      if (o.movable && (order > rank || (isBeyond && order >= rank))) victims.push(o);
+    }
+    if (victims.length === 0 && !stopping) continue;
+    victims.sort((a, b) => a.lostS - b.lostS);
+    sites.push({ machine: m, victims, stopping, cpus, gpus, memoryGb });
+  }
+  return sites;
+}
+
+interface Option {
+  readonly stops: readonly Occupant[];
+  readonly lostS: number;
+  readonly endS: number;
+  readonly zone: string;
+}
+
 /**
  * Makes room by stopping what the rules of preemption allow, the least lost work first, and only
  * where it lets a task end sooner than by waiting: room freed elsewhere would be filled by others
@@ -33,75 +92,62 @@
   zone: string | null = null,
 ): number {
   const spec = job.spec;
-  const rank = PRIORITY_ORDER[spec.priority];
-  const mayStop = (o: Occupant): boolean =>
-    o.movable &&
-    !o.stopping &&
-    (PRIORITY_ORDER[o.priority] > rank ||
-      (guaranteed && o.team !== spec.team && g.beyond.has(o.job) && PRIORITY_ORDER[o.priority] >= rank));
-  const taken = new Set<string>(g.stops.map((s) => `${s.job}/${s.task}`));
   // Room that stops under way will free counts already.
   const waits = [...ends].sort((a, b) => b - a);
   let next = 0;
   const perZone = new Map<string, number>();
   for (const z of job.zones) perZone.set(z, (perZone.get(z) ?? 0) + 1);
   const zoneMost = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-  const options: { stops: Occupant[]; lostS: number; endS: number; zone: string }[] = [];
+  const options: Option[] = [];
   const runS = spec.kind === 'service' ? 0 : job.estimateS;
-  for (const m of g.s.machines) {
+  for (const site of sitesFor(g, job, guaranteed)) {
+    const m = site.machine;
     g.steps += 1;
-    if (!m.takesTasks || !allows(job, m) || job.avoid.has(m.id)) continue;
+    if (!allows(job, m) || job.avoid.has(m.id)) continue;
     if (zone !== null && m.zone !== zone) continue;
-    let cpus = m.type.cpus;
-    let gpus = m.type.gpus;
-    let memory = m.type.memoryGb;
-    for (const o of m.occupants) {
-      if (o.stopping) continue;
-      cpus -= o.cpus;
-      gpus -= o.gpus;
-      memory -= o.memoryGb;
-    }
-    const victims = m.occupants
-      .filter((o) => mayStop(o) && !taken.has(`${o.job}/${o.task}`))
-      .sort((a, b) => a.lostS - b.lostS);
-    const stopping = m.occupants.some((o) => o.stopping);
-    if (stopping && cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb) {
+    let { cpus, gpus, memoryGb } = site;
+    if (site.stopping && cpus >= spec.cpus && gpus >= spec.gpus && memoryGb >= spec.memoryGb) {
       const byGpus = spec.gpus > 0 ? Math.floor(gpus / spec.gpus) : Infinity;
       next += Math.max(1, Math.min(byGpus, Math.floor(cpus / Math.max(spec.cpus, 0.01))));
       continue;
     }
-    let chosen: Occupant[] = [];
+    if (site.victims.length === 0) continue;
+    const fetchS = fetchSeconds(job, m);
+    const endS = STOP_S + fetchS + runS * m.slowness;
+    let from = 0;
     let lostS = 0;
-    for (const v of victims) {
-      chosen.push(v);
+    for (const [i, v] of site.victims.entries()) {
+      if (g.stopped.has(v)) {
+        if (from === i) from += 1;
+        continue;
+      }
       lostS += v.lostS * v.cpus;
       cpus += v.cpus;
       gpus += v.gpus;
-      memory += v.memoryGb;
-      if (cpus + EPSILON < spec.cpus || gpus + EPSILON < spec.gpus || memory + EPSILON < spec.memoryGb)
+      memoryGb += v.memoryGb;
+      if (cpus + EPSILON < spec.cpus || gpus + EPSILON < spec.gpus || memoryGb + EPSILON < spec.memoryGb)
         continue;
-      const fetchS = fetchSeconds(job, m);
-      const endS = STOP_S + fetchS + runS * m.slowness;
-      options.push({ stops: chosen, lostS: lostS + fetchS * 4, endS, zone: m.zone });
-      chosen = [];
+      const stops = site.victims.slice(from, i + 1).filter((x) => !g.stopped.has(x));
+      options.push({ stops, lostS: lostS + fetchS * 4, endS, zone: m.zone });
+      from = i + 1;
       lostS = 0;
       cpus -= spec.cpus;
       gpus -= spec.gpus;
-      memory -= spec.memoryGb;
+      memoryGb -= spec.memoryGb;
     }
   }
   options.sort((a, b) => a.lostS - b.lostS);
-  const stops: Stop[] = [];
+  const stopped: Occupant[] = [];
   for (const option of options) {
     const waitS = waits[next];
     if (waitS === undefined) break;
     if (option.endS + PREEMPT_GAIN_S > waitS) continue;
     if ((perZone.get(option.zone) ?? 0) >= zoneMost) continue;
     perZone.set(option.zone, (perZone.get(option.zone) ?? 0) + 1);
-    for (const o of option.stops) stops.push({ job: o.job, task: o.task, inFavourOf: spec.id });
+    stopped.push(...option.stops);
     next += 1;
   }
   if (spec.kind === 'gang' && next < waits.length) return 0;
-  g.stops.push(...stops);
+  for (const o of stopped) g.stop(o, spec.id);
   return Math.min(next, waits.length);
 }
--- a/packages/planner/src/plan/queue.ts
+++ b/packages/planner/src/plan/queue.ts
@@ -76,14 +76,21 @@
     return copy;
   }
 
-  /** Whether a task of this size could start at once. */
-  fitsNow(need: Need): boolean {
-    return (
-      this.lastStartS <= 0 &&
-      need.cpus <= this.cpus + EPSILON &&
-      need.memoryGb <= this.memoryGb + EPSILON &&
-      need.gpus <= this.gpus + EPSILON
-    );
+  /** Whether a task of this size could start by then. */
+  fitsBy(need: Need, byS: number): boolean {
+    if (this.lastStartS > byS) return false;
+    let cpus = this.cpus - need.cpus;
+    let gpus = this.gpus - need.gpus;
+    let memory = this.memoryGb - need.memoryGb;
+    if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return true;
+    for (const l of this.loads) {
+      if (l.endS > byS) return false;
+      cpus += l.cpus;
+      gpus += l.gpus;
+      memory += l.memoryGb;
+      if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return true;
+    }
+    return false;
   }
 
   /** Earliest start of a task of this size, or Infinity. */
@@ -134,15 +141,15 @@
     const cpus = this.machine.type.cpus - this.serviceCpus;
     const gpus = this.machine.type.gpus - this.serviceGpus;
     const memory = this.machine.type.memoryGb - this.serviceMemoryGb;
-    const slots = (c: number, g: number, m: number): number => {
-      const byGpus = task.gpus > 0 ? g / task.gpus : Infinity;
-      const least = Math.min(c / task.cpus, byGpus, m / Math.max(task.memoryGb, EPSILON));
-      return Math.max(0, Math.floor(least + EPSILON));
-    };
-    return (
-      slots(cpus, gpus, memory) - slots(cpus - service.cpus, gpus - service.gpus, memory - service.memoryGb)
-    );
+    const before = slotsFor(task, cpus, gpus, memory);
+    return before - slotsFor(task, cpus - service.cpus, gpus - service.gpus, memory - service.memoryGb);
   }
 }
 
+function slotsFor(task: Need, cpus: number, gpus: number, memoryGb: number): number {
+  const byGpus = task.gpus > 0 ? gpus / task.gpus : Infinity;
+  const least = Math.min(cpus / task.cpus, byGpus, memoryGb / Math.max(task.memoryGb, EPSILON));
+  return Math.max(0, Math.floor(least + EPSILON));
+}
+
 /** A resource that is pooled: the scarcer of the two bounds what a job can get. */
--- a/packages/planner/src/plan/settle.ts
+++ b/packages/planner/src/plan/settle.ts
@@ -35,7 +35,7 @@
     } else if (deferred.has(c)) {
       room.cpus -= spec.cpus;
       room.gpus -= spec.gpus;
-    } else if (c.startS <= 0) {
+    } else if (c.startS <= g.headS(job)) {
       g.start(job, c, room);
     } else {
       // Room within the limit is taken in the order of the plan, also by what starts later.
--- /dev/null
+++ b/packages/planner/src/plan/sized.ts
@@ -0,0 +1,70 @@
+import type { JobSpec } from '@spurbridge/wire';
+import type { Queue } from './queue.js';
+
+/** Tasks are sorted into classes of at least this many CPUs. */
+const CPUS = [0, 0.5, 1, 1.5, 2, 3, 4, 5, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256];
+
+/** The class of a task: no task in it is smaller than its sample. */
+export function sizeClass(spec: JobSpec): {
+  readonly key: string;
+  readonly cpus: number;
+  readonly gpus: number;
+} {
+  let cpus = 0;
+  for (const c of CPUS) if (c <= spec.cpus) cpus = c;
+  const gpus = spec.gpus >= 1 ? 1 : 0;
+  return { key: `${cpus}/${gpus}`, cpus, gpus };
+}
+
+/**
+ * Queues in the order of when the smallest task of a class could start in them. Placing only takes room away, so a start
+ * found at one time bounds all later ones from below, and whoever looks for the best few queues may stop where the bound
+ * is worse than what he has: a plan need not look at all machines for each job.
+ */
+export class Sized {
+  readonly at: Int32Array;
+  /** For each place in the order: no task of the class starts in that queue before this, in seconds. */
+  readonly fromS: Float64Array;
+  /** How many queues may start such a task ever. */
+  readonly size: number;
+  /** Places looked at whose queue had changed since. */
+  stale = 0;
+  private readonly was: readonly Queue[];
+
+  /** Equal starts, to `grainS`, are in the order of `place`, by which equal choices are made. */
+  constructor(
+    queues: readonly Queue[],
+    cpus: number,
+    gpus: number,
+    indices: readonly number[],
+    place: Int32Array,
+    grainS: number,
+  ) {
+    const need = { cpus, gpus, memoryGb: 0 };
+    const starts = new Float64Array(queues.length);
+    const able: number[] = [];
+    for (const i of indices) {
+      const s = (queues[i] as Queue).earliestStart(need);
+      if (s === Infinity) continue;
+      starts[i] = Math.floor(s / grainS) * grainS;
+      able.push(i);
+    }
+    able.sort(
+      (a, b) => (starts[a] as number) - (starts[b] as number) || (place[a] as number) - (place[b] as number),
+    );
+    this.size = able.length;
+    this.at = Int32Array.from(able);
+    this.fromS = Float64Array.from(able, (i) => starts[i] as number);
+    this.was = able.map((i) => queues[i] as Queue);
+  }
+
+  /** Notes that a place was looked at, and whether its queue is not any more what it was. */
+  looked(place: number, now: Queue): void {
+    if (this.was[place] !== now) this.stale += 1;
+  }
+
+  /** Whether too much is looked at in vain: the order is worth being made anew. */
+  get isStale(): boolean {
+    return this.stale > 64 + 4 * this.size;
+  }
+}
--- a/packages/planner/src/plan/types.ts
+++ b/packages/planner/src/plan/types.ts
@@ -1,6 +1,7 @@
 import type { JobId, MachineId } from '@spurbridge/wire';
 import type { JobView, MachineView } from '../snapshot.js';
 import type { Queue } from './queue.js';
+import type { Sized } from './sized.js';
 
 export interface Start {
   readonly job: JobId;
@@ -30,6 +31,8 @@
 
 export interface Plan {
   readonly starts: readonly Start[];
+  /** Tasks for the heads of machines' queues: they start once what runs there has ended, within `headS` by the estimates. */
+  readonly heads: readonly Start[];
   readonly stops: readonly Stop[];
   readonly unmet: readonly Unmet[];
   /** How many times a queue was looked at. */
@@ -68,7 +71,9 @@
   readonly sample: JobView;
   /** Jobs of the kind that are still to be settled. */
   left: number;
-  /** Every queue before this one is known not to take such a task now. */
+  /** Queues in the order of when the smallest task of its class could start. */
+  readonly order: Sized;
+  /** Every queue before this place is known not to take such a task now. */
   cursor: number;
   readonly mayPreempt: boolean;
 }
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -61,6 +61,8 @@
   readonly machines: readonly MachineView[];
   readonly teams: readonly Team[];
   readonly starvationS: number;
+  /** Tasks are placed ahead on machines whose room is expected to come free within this; 0: none are. */
+  readonly headS: number;
   /** Whether money is weighed against speed. */
   readonly frugal: boolean;
   /** The size of task that machines should keep room for, or null while none is known. */
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -29,6 +29,8 @@
     usedCpus: 0,
     usedGpus: 0,
     usedMemoryGb: 0,
+    steadyCpus: 0,
+    steadyMemoryGb: 0,
     takesTasks: true,
     images: new Map([['img', 1]]),
     replicas: [],
@@ -77,6 +79,8 @@
       idleS: 25,
       targetCpus: 0,
       targetOrdinaryCpus: 0,
+      spreads: false,
+      burstCpus: 0,
       easyMachines: 100,
       bootShare: 0.5,
     },
@@ -91,6 +95,52 @@
     0,
   );
 
+// A burst had its machines half a minute after its end: each job was rented for once it was predicted to be late.
+test('work that arrives faster than the fleet can take it is rented for before it is late', () => {
+  const policy = { ...input({}).policy, burstCpus: 160 };
+  const machines = [machine(1, m16, { usedCpus: 16 })];
+  const early = unmet({ cpus: 4, tasks: 2, spot: true, deadlineS: 600 }, { startsInS: 2, guaranteed: false });
+  const cpus = (over: Partial<FleetInput>): number =>
+    planFleet(input({ machines, policy, unmet: [early], ...over })).rent.reduce(
+      (sum, r) => sum + r.count * (TYPES.find((t) => t.name === r.type)?.cpus ?? 0),
+      0,
+    );
+  assert.ok(cpus({}) >= 144 && cpus({}) < 176, `${cpus({})} CPUs`);
+  assert.equal(cpus({ policy: { ...policy, burstCpus: 18 } }), 0, 'uneven arrivals are no burst');
+  assert.equal(cpus({ unmet: [] }), 0, 'nothing waits');
+  const refused = planFleet(
+    input({ machines, policy, unmet: [early], available: (_t, _z, spot) => !spot }),
+  ).rent;
+  assert.ok(refused.length > 0 && refused.every((r) => !r.spot), 'ordinary ones where spot ones are refused');
+});
+
+// All of the reserve lay in one zone: half of every new service waited for a machine to boot in another.
+test('spare room for services that spread over zones is kept in more than one, and only there where it helps', () => {
+  const policy = { ...input({}).policy, targetOrdinaryCpus: 64, spreads: true };
+  const full = { usedCpus: 16, steadyCpus: 16 };
+  const machines = [
+    machine(1, m16, { zone: 'a' }),
+    machine(2, m16, { zone: 'a', idleS: 100 }),
+    machine(3, m16, { zone: 'b', ...full }),
+    machine(4, m16, { zone: 'c', ...full }),
+  ];
+  const rent = (over: Partial<FleetInput>): (string | undefined)[] =>
+    planFleet(input({ machines, policy, ...over })).rent.map((r) => r.zone);
+  assert.deepEqual(rent({}), ['b']);
+  assert.deepEqual(
+    rent({ available: (_t, zone) => zone === 'a' }),
+    [],
+    'more in the roomiest zone helps nobody',
+  );
+  assert.deepEqual(rent({ policy: { ...policy, spreads: false } }), [], 'enough, were zones no matter');
+  const even = [...machines, machine(5, m16, { zone: 'b' })];
+  assert.deepEqual(rent({ machines: even }), []);
+  // What is spare in the roomiest zone alone may go back, what the others need may not.
+  assert.deepEqual(planFleet(input({ machines: even, policy })).release, ['n-2']);
+  const idle = even.map((m) => (m.id === 'n-5' ? { ...m, idleS: 100 } : { ...m, idleS: 0 }));
+  assert.deepEqual(planFleet(input({ machines: idle, policy })).release, []);
+});
+
 test('work that waits is met by spot machines where it may use them', () => {
   const result = planFleet(input({ unmet: [unmet({ tasks: 4, cpus: 2 })] }));
   assert.ok(result.rent.length > 0 && result.rent.every((r) => r.spot));
--- a/packages/shares/src/balance.ts
+++ b/packages/shares/src/balance.ts
@@ -6,6 +6,7 @@
 export interface Holder {
   readonly node: NodeId;
   readonly machines: number;
+  readonly zone: string;
   /** The leader has plans to make beside: its part is smaller. */
   readonly leads: boolean;
 }
@@ -23,6 +24,12 @@
 const LEAST = 8;
 /** Moves a second at most: each is a new connection at the other end. */
 const MOVES_PER_S = 25;
+/**
+ * A machine goes to a node of its own zone, which a cut leaves together, as long as that node has no more than this much of
+ * its part: less than where shedding begins, so that none comes back.
+ */
+const HOME = 1.1;
+const HOME_MOVES_PER_S = 8;
 
 /** Machines that each node should hold; their sum is what is held altogether. */
 export function parts(holders: readonly Holder[]): Map<NodeId, number> {
@@ -61,21 +68,29 @@
     return part - h.machines - underWay;
   }
 
-  /** Where the worker that reports now should go, or null: it stays. */
-  target(own: Holder, others: readonly Holder[]): NodeId | null {
+  /** Where the worker of this zone that reports now should go, or null: it stays. */
+  target(own: Holder, others: readonly Holder[], zone: string): NodeId | null {
     const now = this.clock.now();
     if (now < this.nextAt) return null;
     const part = parts([own, ...others]);
     const mine = part.get(this.self) ?? 0;
     if (this.current === 'even' && own.machines > mine * BEGIN + LEAST) this.enter('shedding');
     if (this.current === 'shedding' && own.machines <= mine * END) this.enter('even');
-    if (this.current === 'even') return null;
+    const isShedding = this.current === 'shedding';
+    // One that is at home goes last: while there are strangers they report as often.
+    if (isShedding && zone === own.zone && own.machines <= mine * BEGIN) return null;
+    if (!isShedding && zone === own.zone) return null;
     let best: Holder | null = null;
     let most = 0;
     for (const h of others) {
-      const room = this.room(h, part.get(h.node) ?? 0);
-      if (room > most) {
-        most = room;
+      const whole = part.get(h.node) ?? 0;
+      const isHome = h.zone === zone;
+      if (!isShedding && !isHome) continue;
+      const room = this.room(h, isHome ? whole * HOME : whole);
+      // A node of its zone is preferred to any other that has room.
+      const worth = room <= 0 ? 0 : isHome ? room + whole + own.machines : room;
+      if (worth > most) {
+        most = worth;
         best = h;
       }
     }
@@ -83,7 +98,7 @@
     const before = this.sent.get(best.node);
     const count = before !== undefined && before.said === best.machines ? before.count + 1 : 1;
     this.sent.set(best.node, { said: best.machines, count });
-    this.nextAt = (now + 1000 / MOVES_PER_S) as Ms;
+    this.nextAt = (now + 1000 / (isShedding ? MOVES_PER_S : HOME_MOVES_PER_S)) as Ms;
     return best.node;
   }
 }
