Awaited machines counted one by one, bursts beyond chance, no ordinary machines for arrays at the start

Change: Awaited (one machine in or out at a report, gathered anew once a second); queues swept only where something waits; four deviations beyond the usual rate before a burst is one; spot machines before ordinary ones.

--- a/packages/controller/src/arrivals.ts
+++ b/packages/controller/src/arrivals.ts
@@ -9,9 +9,9 @@
 /** What is usual goes by this long before. Of less than `LEAST_MS` nothing is concluded: a start is no burst. */
 const USUAL_MS = 120_000;
 const LEAST_MS = 30_000;
-/** As many more than usual arrive once in some hundred windows by chance: these deviations, and two jobs where few come. */
-const DEVIATIONS = 3;
-const SOME = 2;
+/** So many more than usual hardly come by chance: these deviations, and some jobs where few come. */
+const DEVIATIONS = 4;
+const SOME = 4;
 
 interface Arrival {
   readonly at: Ms;
--- a/packages/controller/src/queues.ts
+++ b/packages/controller/src/queues.ts
@@ -14,10 +14,18 @@
  * queue starts with the answer to the very report that shows the room, without a plan and a commit between.
  */
 export class Queues {
+  /** Machines for which this leader has placed something that may wait there still. */
+  private readonly having = new Set<MachineId>();
+
   constructor(
     private readonly cluster: Cluster,
     private readonly now: () => Ms,
-  ) {}
+  ) {
+    cluster.on('placed', (job, task) => {
+      const p = job.placements.get(task);
+      if (p !== undefined && job.gang === null) this.having.add(p.machine);
+    });
+  }
 
   /** Lets those tasks start that the machine has room for, by priority and in the order of their placing; false: none. */
   release(id: MachineId): boolean {
@@ -68,16 +76,25 @@
     return room;
   }
 
+  /** Looks after all machines on which something waits; called once in a while. */
+  sweepAll(): void {
+    for (const id of this.having) this.sweep(id);
+  }
+
   /** Gives up what was to be stopped, waits in vain, or waits on a machine that takes no tasks: no start of it was sent. */
   sweep(id: MachineId): void {
+    if (!this.having.has(id)) return;
+    let waits = false;
     const takes = this.cluster.machines.get(id)?.takesTasks === true;
     for (const held of [...this.cluster.heldOn(id)]) {
       const p = held.job.placements.get(held.task);
+      if (p !== undefined && isUnsent(p)) waits = true;
       if (p?.state !== 'queued' || held.job.gang !== null) continue;
       if (p.stop !== null) this.giveUp(held, p, 'gave way');
       else if (!takes) this.giveUp(held, p, 'its machine takes no tasks');
       else if (this.now() - p.since > PATIENCE_MS) this.giveUp(held, p, 'its place did not come free');
     }
+    if (!waits) this.having.delete(id);
   }
 
   private giveUp({ job }: Held, p: Placement, why: string): void {
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -4,6 +4,8 @@
 import type { Job, Machine } from '@spurbridge/model';
 import type { MachineId, TaskReport, WorkerReport } from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
+import type { Place } from './awaited.js';
+import { Awaited } from './awaited.js';
 import type { Cluster } from './cluster.js';
 import { answerHorizonMs } from './settings.js';
 import type { Tenure } from './tenure.js';
@@ -24,29 +26,11 @@
 });
 
 const LOOK_MS = 100;
+/** What is counted one by one is gathered anew after this long. */
+const REGATHER_MS = 1000;
 const MARGIN_MS = 1000;
 const DRIFT = 0.001;
 
-interface Place {
-  /** Empty where the machine is known by its id alone. */
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-}
-
-/** The machines that are not heard yet, as far as decisions depend on them. */
-interface Unheard {
-  /** What it was computed from: machines known, and the list read last. */
-  readonly machines: number;
-  readonly listedAt: Ms | null;
-  readonly count: number;
-  readonly places: readonly Place[];
-  readonly cpus: number;
-  readonly gpus: number;
-  /** What the records place on them, by team. */
-  readonly recorded: ReadonlyMap<string, { readonly cpus: number; readonly gpus: number }>;
-}
-
 /** Whether an earlier leader may have placed a task of the job on such a machine. */
 function couldHold(p: Place, { spec }: Job): boolean {
   if (p.type === '') return true;
@@ -64,7 +48,12 @@
   private readonly heard = new Map<MachineId, WorkerReport>();
   /** Machines that reported at all. */
   private readonly met = new Set<MachineId>();
-  private unheard: Unheard | null = null;
+  private readonly unheard: Awaited;
+  /** When, and from which list, these were gathered the last time; reports that came since are counted one by one. */
+  private gatheredAt: Ms | null = null;
+  private gatheredFrom: Ms | null = null;
+  /** How many were not heard at the last look. */
+  private before = 0;
   private unexplained = 0;
   /** Machines on which something runs that no known job explains. */
   private readonly strays = new Set<MachineId>();
@@ -78,6 +67,7 @@
     private readonly listedAt: () => Ms | null,
   ) {
     const { settings, trust } = tenure.c;
+    this.unheard = new Awaited(cluster);
     this.current = trust.continuous ? 'settled' : 'asking';
     const longestMs = answerHorizonMs(settings) + settings.workers.leaseS * 1000;
     this.sureAt = later(tenure.electedAt, longestMs * (1 + DRIFT) + MARGIN_MS);
@@ -96,15 +86,16 @@
   mayPlace(job: Job): boolean {
     if (this.current === 'settled') return true;
     if (this.current !== 'listening') return false;
-    return !this.whatIsUnheard().places.some((p) => couldHold(p, job));
+    for (const { place } of this.whatIsUnheard().places()) if (couldHold(place, job)) return false;
+    return true;
   }
 
   /** What machines not heard yet may use of each team's limit beyond what the records place on them. */
   unknownUse(team: string): { readonly cpus: number; readonly gpus: number } {
     if (this.current === 'settled') return { cpus: 0, gpus: 0 };
     const u = this.whatIsUnheard();
-    const own = u.recorded.get(team) ?? { cpus: 0, gpus: 0 };
-    return { cpus: Math.max(0, u.cpus - own.cpus), gpus: Math.max(0, u.gpus - own.gpus) };
+    const own = u.recorded(team);
+    return { cpus: Math.max(0, u.size.cpus - own.cpus), gpus: Math.max(0, u.size.gpus - own.gpus) };
   }
 
   /** Machines that decisions still wait for. */
@@ -125,7 +116,7 @@
       'settling',
     );
     this.current = next;
-    this.unheard = null;
+    this.gatheredAt = null;
     if (this.isOver) this.cluster.emit('plan');
   }
 
@@ -141,7 +132,7 @@
     }
     this.heard.clear();
     this.met.clear();
-    this.unheard = null;
+    this.unheard.clear();
   }
 
   /** A report, by whatever way it came. */
@@ -152,9 +143,9 @@
     if (m?.session !== r.session || m.seq !== r.seq) return;
     const isOurs = r.token === this.tenure.c.leadership.token;
     if (isOurs) {
-      if (!this.heard.has(r.machine)) this.unheard = null;
       this.heard.set(r.machine, r);
-    }
+      this.unheard.remove(r.machine);
+    } else if (this.isAwaited(m)) this.unheard.add(m);
     if (isOurs && this.strays.has(r.machine) && !this.hasStrays(r)) this.strays.delete(r.machine);
     if (this.met.has(r.machine)) return;
     this.met.add(r.machine);
@@ -195,45 +186,34 @@
     return this.cluster.wasUp(m) || m.heardAt !== null;
   }
 
-  private whatIsUnheard(): Unheard {
-    // What a list added since the last look counts at once.
-    if (this.unheard?.machines === this.cluster.machines.size && this.unheard.listedAt === this.listedAt())
-      return this.unheard;
-    const places = new Map<string, Place>();
-    const recorded = new Map<string, { cpus: number; gpus: number }>();
-    let cpus = 0;
-    let gpus = 0;
-    let count = 0;
-    for (const m of this.cluster.machines.values()) {
-      if (!this.isAwaited(m)) continue;
-      count += 1;
-      places.set(`${m.type}/${m.zone}/${m.spot}`, { type: m.type, zone: m.zone, spot: m.spot });
-      const type = this.cluster.type(m.type);
-      // Known by its id alone, it may be as large as any.
-      cpus += type?.cpus ?? Infinity;
-      gpus += type?.gpus ?? Infinity;
-      for (const { job } of this.cluster.heldOn(m.id)) {
-        const sum = recorded.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-        sum.cpus += job.spec.cpus;
-        sum.gpus += job.spec.gpus;
-        recorded.set(job.spec.team, sum);
-      }
-    }
-    const machines = this.cluster.machines.size;
+  /** The machines not heard; what a list added since the last look counts at once. */
+  private whatIsUnheard(): Awaited {
     const listedAt = this.listedAt();
-    this.unheard = { machines, listedAt, count, places: [...places.values()], cpus, gpus, recorded };
+    const { clock } = this.tenure.c;
+    if (
+      this.gatheredAt === null ||
+      this.gatheredFrom !== listedAt ||
+      clock.now() - this.gatheredAt > REGATHER_MS
+    ) {
+      this.gatheredAt = clock.now();
+      this.gatheredFrom = listedAt;
+      this.unheard.clear();
+      for (const m of this.cluster.machines.values()) if (this.isAwaited(m)) this.unheard.add(m);
+    }
     return this.unheard;
   }
 
   private look(now: Ms): void {
     if (this.current === 'clearing') return this.clear();
-    const before = this.unheard?.count ?? 0;
-    this.unheard = null;
+    const unheard = this.whatIsUnheard();
+    for (const id of [...unheard.ids()])
+      if (this.cluster.machines.get(id)?.state === 'gone') unheard.remove(id);
     // A machine that is proven gone lets jobs go on as well as one that is heard.
-    if (this.current === 'listening' && this.whatIsUnheard().count < before) this.cluster.emit('plan');
+    if (this.current === 'listening' && unheard.count < this.before) this.cluster.emit('plan');
+    this.before = unheard.count;
     const { settings, trust } = this.tenure.c;
     const listedAt = this.listedAt();
-    const missing = this.whatIsUnheard().count;
+    const missing = unheard.count;
     // A machine that was up shortly before may not be listed yet.
     const lagMs = settings.cloud.listLagS * 2000;
     const isListed = listedAt !== null && listedAt > later(this.tenure.electedAt, lagMs);
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -67,6 +67,7 @@
       this.zones.look(this.cluster.machines.values(), now, this.tenure.electedAt, (m) =>
         this.cluster.wasUp(m),
       );
+      this.queues.sweepAll();
       for (const m of [...this.cluster.machines.values()]) this.sweep(m, now);
       this.sweepFleet(now);
     }
@@ -76,7 +77,6 @@
     const { settings, log } = this.tenure.c;
     const { electedAt } = this.tenure;
     if (m.state === 'gone' || m.state === 'releasing') return;
-    this.queues.sweep(m.id);
     if (this.cluster.heldCount(m.id) > 0) {
       const surelyOver = (settings.workers.leaseS * 1000 + LEASE_MARGIN_MS) * (1 + DRIFT * 2);
       const last = Math.max(m.answeredUntil, m.grantedUntil, m.heardAt ?? electedAt);
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -331,8 +331,9 @@
   const helps = u.job.milestonesS.some((m) => queuedS > m && rentedS <= m);
   if (spec.deadlineS === null) return ageS > LATE_START_S || helps;
   // In a burst, waiting until a job is late rents machines that come up when all are late. On a usual minute the queue is
-  // shorter than it seems, and spot machines will do.
-  if (helps && (isBurst || u.startsInS > type.bootS * LONG_QUEUE)) return true;
+  // shorter than it seems, and spot machines will do; before there are any machines, those asked for are under way.
+  const isLong = u.startsInS > type.bootS * LONG_QUEUE && u.startsInS < Infinity;
+  if (helps && (isBurst || isLong)) return true;
   return spec.deadlineS - ageS < estimateS * 1.3 + type.bootS + 10;
 }
 
--- a/packages/planner/src/pace.ts
+++ b/packages/planner/src/pace.ts
@@ -38,7 +38,8 @@
           score: ((spot ? type.spotPrice : type.price) + attention) / places,
         });
       }
-  options.sort((a, b) => a.score - b.score);
+  // Ordinary ones only where no spot machine is to be had.
+  options.sort((a, b) => Number(b.spot) - Number(a.spot) || a.score - b.score);
   // The cheapest kind that there may be; what it cannot give is asked of the next one after its refusal.
   const [best] = options;
   if (best === undefined) return;
