Plans counted by grains, machines not heard after a takeover stop counting as coming, larger moves for larger shares

Change: the pool counts what comes free by quarter seconds, queues are sorted by counting; fleetView counts unheard machines as coming only until they have had time to come; a fiftieth of a share moves a second.

--- a/packages/controller/src/fleet-view.ts
+++ b/packages/controller/src/fleet-view.ts
@@ -76,8 +76,12 @@
   }
 }
 
-/** The machines as the fleet's planner sees them. */
-export function fleetView(cluster: Cluster, now: Ms, consolidates: boolean): FleetMachine[] {
+/**
+ * The machines as the fleet's planner sees them. One that was up before this leader and is not heard counts as coming only
+ * until workers have had the time to find it, at `foundBy`: a zone that was cut off before a takeover passed for one that was
+ * booting, and no room was rented for what was lost with it.
+ */
+export function fleetView(cluster: Cluster, now: Ms, consolidates: boolean, foundBy: Ms): FleetMachine[] {
   const machines: FleetMachine[] = [];
   const beside = new Map<Job, Beside | null>();
   for (const m of cluster.machines.values()) {
@@ -114,7 +118,7 @@
       type,
       zone: m.zone,
       spot: m.spot,
-      booting: m.state === 'booting',
+      booting: m.state === 'booting' && (now < foundBy || !cluster.wasUp(m)),
       returnable: m.rented || cluster.frugal,
       idleS: m.idleSince === null ? 0 : (now - m.idleSince) / 1000,
       usedCpus,
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -10,7 +10,7 @@
 import type { Cluster } from './cluster.js';
 import { compareIds } from './cluster.js';
 import { Demand, fleetView } from './fleet-view.js';
-import { easyMachines } from './settings.js';
+import { easyMachines, unheardMs } from './settings.js';
 import { Signal } from './signal.js';
 import type { Tenure } from './tenure.js';
 
@@ -155,6 +155,7 @@
 
   private async fleetLoop(): Promise<void> {
     const { clock, leadership, types } = this.tenure.c;
+    const foundBy = later(this.tenure.electedAt, unheardMs(this.tenure.c.settings));
     while (this.tenure.active) {
       await this.signal.wait(clock, 1000);
       if (!this.tenure.active) return;
@@ -166,7 +167,7 @@
       if (consolidates) this.consolidateAt = later(now, CONSOLIDATE_MS);
       const plan = planFleet({
         types: types(),
-        machines: fleetView(this.cluster, now, consolidates),
+        machines: fleetView(this.cluster, now, consolidates, foundBy),
         unmet: this.unmet,
         policy: {
           frugal: this.cluster.frugal,
--- a/packages/controller/src/settings.ts
+++ b/packages/controller/src/settings.ts
@@ -54,6 +54,14 @@
   return longestReportMs(s) + 3500;
 }
 
+/** After a takeover, workers find the new leader with their next report, or with the one after. */
+const FIND_MS = 3250;
+
+/** Whoever was not heard by a new leader for this long will hardly come by itself. */
+export function unheardMs(s: Settings): number {
+  return longestReportMs(s) + FIND_MS;
+}
+
 /** A report costs about a quarter of a millisecond of a core; idle ones should take an eighth of the share. */
 const EASY_REPORTS_PER_S = 500;
 
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -5,7 +5,7 @@
 import type { Fleet } from './fleet.js';
 import type { Queues } from './queues.js';
 import { SAVE_MARGIN_S } from './reports.js';
-import { longestReportMs, silentAfterMs } from './settings.js';
+import { longestReportMs, silentAfterMs, unheardMs } from './settings.js';
 import type { Tenure } from './tenure.js';
 import type { WorkerReport } from '@spurbridge/wire';
 import { Zones } from './zones.js';
@@ -32,8 +32,6 @@
 const DEAF_CALLS = 3;
 /** So many of the machines may be the last ones that decisions wait for. */
 const LAST_SHARE = 0.05;
-/** After a takeover, workers find the new leader with their next report, or with the one after. */
-const FIND_MS = 3250;
 
 /** Looks after silent machines, notices that run out and stops that take too long. */
 export class Sweeper {
@@ -156,8 +154,8 @@
     for (const m of this.cluster.machines.values()) {
       if (m.state === 'booting') {
         // It was up under an earlier leader: not hearing it may be this node's own fault.
-        const unheardMs = now - m.firstSeen;
-        const suspect = unheardMs > this.unheardMs() && (!wave || unheardMs > leaseMs);
+        const unheardForMs = now - m.firstSeen;
+        const suspect = unheardForMs > unheardMs(this.tenure.c.settings) && (!wave || unheardForMs > leaseMs);
         if (!this.cluster.wasUp(m)) this.sweepBooting(m, now);
         else if (!this.isExcused(m, now)) (suspect ? silent : unheard).push(m);
       } else if (m.state === 'silent') {
@@ -186,7 +184,7 @@
       const last = m.heardAt ?? m.firstSeen;
       const patienceMs =
         m.state === 'booting'
-          ? this.unheardMs() + 6000
+          ? unheardMs(this.tenure.c.settings) + 6000
           : silentAfterMs(this.tenure.c.settings) + SILENT_RELEASE_MS;
       if (((isLast || now - last > patienceMs) && isUnreachable(m)) || m.goneBy !== null)
         this.fleet.giveBack(m, 'silent');
@@ -233,10 +231,6 @@
     });
   }
 
-  private unheardMs(): number {
-    return longestReportMs(this.tenure.c.settings) + FIND_MS;
-  }
-
   private sweepBooting(m: Machine, now: Ms): void {
     const bootS = this.cluster.type(m.type)?.bootS ?? 60;
     if (now - m.firstSeen > bootS * 1000 * BOOT_PATIENCE + 5000) this.fleet.giveBack(m, 'never came up');
--- a/packages/measure/src/plans.ts
+++ b/packages/measure/src/plans.ts
@@ -4,8 +4,8 @@
 import type { JobId, MachineId } from '@spurbridge/wire';
 import { parallel } from './parallel.js';
 
-/** What waits: a usual minute, a burst with hundreds of jobs behind it, or the moment after much came free. */
-const LOADS = ['usual', 'burst', 'freed'] as const;
+/** What waits: one job, a usual minute, a burst with hundreds of jobs behind it, or the moment after much came free. */
+const LOADS = ['one', 'usual', 'burst', 'freed'] as const;
 type Load = (typeof LOADS)[number];
 
 export interface PlansPart {
@@ -110,8 +110,8 @@
 
 /** The same load for each machine at every size. */
 function snapshotOf(p: PlansPart): Snapshot {
-  const perMachine = { usual: 0.006, burst: 0.25, freed: 0.06 }[p.load];
-  const free = { usual: 40, burst: 400, freed: 4 }[p.load];
+  const perMachine = { one: 0, usual: 0.006, burst: 0.25, freed: 0.06 }[p.load];
+  const free = { one: 100, usual: 40, burst: 400, freed: 4 }[p.load];
   const cpus = p.machines * 16;
   return {
     machines: machinesOf(p.machines, free),
--- a/packages/planner/src/plan/ground.ts
+++ b/packages/planner/src/plan/ground.ts
@@ -79,19 +79,16 @@
       this.zoneOf[i] = zone;
     });
     this.leastSlowness = this.queues.reduce((least, q) => Math.min(least, q.machine.slowness), 1);
-    this.inZone.set(
-      null,
-      this.queues.map((_, i) => i),
-    );
-    for (const [z, name] of this.zones.entries())
-      this.inZone.set(
-        name,
-        this.queues.map((_, i) => i).filter((i) => this.zoneOf[i] === z),
-      );
     this.atPlace = this.queues.map((_, i) => i);
     this.atPlace.sort((a, b) => (rank[a] as number) - (rank[b] as number) || a - b);
     this.place = new Int32Array(n);
     this.atPlace.forEach((at, p) => (this.place[at] = p));
+    this.inZone.set(null, this.atPlace);
+    for (const [z, name] of this.zones.entries())
+      this.inZone.set(
+        name,
+        this.atPlace.filter((i) => this.zoneOf[i] === z),
+      );
     this.room = new Map(s.teams.map((t) => [t.name, { cpus: t.cpusMax, gpus: t.gpusMax }]));
     this.guaranteed = withinGuarantee(s);
     this.beyond = new Set(s.jobs.filter((j) => !this.guaranteed.has(j)).map((j) => j.spec.id));
@@ -116,7 +113,7 @@
     const name = zone === null ? key : `${key}/${zone}`;
     let order = this.orders.get(name);
     if (order === undefined || order.isStale) {
-      order = new Sized(this.queues, cpus, gpus, this.inZone.get(zone) ?? [], this.place, SAME_S);
+      order = new Sized(this.queues, cpus, gpus, this.inZone.get(zone) ?? [], SAME_S);
       this.orders.set(name, order);
     }
     return order;
--- a/packages/planner/src/plan/pool.ts
+++ b/packages/planner/src/plan/pool.ts
@@ -4,6 +4,10 @@
 
 /** Beyond this, when something starts is as good as never. */
 const HORIZON_S = 4096;
+/** What comes free is counted by this much of time, never later than it does: the pool bounds from below. */
+const GRAIN_S = 0.25;
+/** What comes free later than this is counted there. */
+const LATEST = 4096;
 
 /** A resource coming free over time, as one pool: what no queue can beat. */
 export class Pool {
@@ -13,18 +17,19 @@
   private readonly given: number[] = [0];
 
   constructor(queues: readonly Queue[], of: Pooled) {
-    const releases: { atS: number; amount: number }[] = [];
-    for (const q of queues) q.releases(of, releases);
-    releases.sort((a, b) => a.atS - b.atS);
+    const grains = new Float64Array(LATEST + 1);
+    for (const q of queues) q.releases(of, grains, GRAIN_S);
+    this.amount[0] = grains[0] as number;
     let last = 0;
-    for (const r of releases) {
-      if (r.atS > (this.atS[last] as number)) {
-        const span = r.atS - (this.atS[last] as number);
-        this.given.push((this.given[last] as number) + span * (this.amount[last] as number));
-        this.amount.push((this.amount[last] as number) + r.amount);
-        this.atS.push(r.atS);
-        last += 1;
-      } else this.amount[last] = (this.amount[last] as number) + r.amount;
+    for (let i = 1; i <= LATEST; i += 1) {
+      const amount = grains[i] as number;
+      if (amount === 0) continue;
+      const atS = i * GRAIN_S;
+      const span = atS - (this.atS[last] as number);
+      this.given.push((this.given[last] as number) + span * (this.amount[last] as number));
+      this.amount.push((this.amount[last] as number) + amount);
+      this.atS.push(atS);
+      last += 1;
     }
   }
 
--- a/packages/planner/src/plan/queue.ts
+++ b/packages/planner/src/plan/queue.ts
@@ -130,10 +130,10 @@
     this.loads.splice(at, 0, { cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb, endS });
   }
 
-  /** What comes free of a resource, and when: what is free at the queue's end counts from there. */
-  releases(of: Pooled, into: { atS: number; amount: number }[]): void {
-    if (this[of] > 0) into.push({ atS: this.lastStartS, amount: this[of] });
-    for (const l of this.loads) if (l.endS < Infinity && l[of] > 0) into.push({ atS: l.endS, amount: l[of] });
+  /** What comes free of a resource, by time: what is free at the queue's end counts from there. */
+  releases(of: Pooled, into: Float64Array, grainS: number): void {
+    if (this[of] > 0) tally(into, this.lastStartS / grainS, this[of]);
+    for (const l of this.loads) if (l.endS < Infinity && l[of] > 0) tally(into, l.endS / grainS, l[of]);
   }
 
   /** How many tasks of a size fit beside services alone, now and with one more service. */
@@ -146,6 +146,12 @@
   }
 }
 
+/** Adds an amount at a place, rounded down; what is beyond the last one is counted there. */
+function tally(into: Float64Array, at: number, amount: number): void {
+  const i = Math.min(into.length - 1, Math.floor(at));
+  into[i] = (into[i] as number) + amount;
+}
+
 function slotsFor(task: Need, cpus: number, gpus: number, memoryGb: number): number {
   const byGpus = task.gpus > 0 ? gpus / task.gpus : Infinity;
   const least = Math.min(cpus / task.cpus, byGpus, memoryGb / Math.max(task.memoryGb, EPSILON));
--- a/packages/planner/src/plan/sized.ts
+++ b/packages/planner/src/plan/sized.ts
@@ -31,27 +31,27 @@
   stale = 0;
   private readonly was: readonly Queue[];
 
-  /** Equal starts, to `grainS`, are in the order of `place`, by which equal choices are made. */
+  /** `indices` are in the order by which equal choices are made; so are starts that are equal to `grainS`. */
   constructor(
     queues: readonly Queue[],
     cpus: number,
     gpus: number,
     indices: readonly number[],
-    place: Int32Array,
     grainS: number,
   ) {
     const need = { cpus, gpus, memoryGb: 0 };
     const starts = new Float64Array(queues.length);
-    const able: number[] = [];
+    const byGrain = new Map<number, number[]>();
     for (const i of indices) {
       const s = (queues[i] as Queue).earliestStart(need);
       if (s === Infinity) continue;
-      starts[i] = Math.floor(s / grainS) * grainS;
-      able.push(i);
+      const grain = Math.floor(s / grainS);
+      starts[i] = grain * grainS;
+      const alike = byGrain.get(grain);
+      if (alike === undefined) byGrain.set(grain, [i]);
+      else alike.push(i);
     }
-    able.sort(
-      (a, b) => (starts[a] as number) - (starts[b] as number) || (place[a] as number) - (place[b] as number),
-    );
+    const able = [...byGrain.keys()].sort((a, b) => a - b).flatMap((grain) => byGrain.get(grain) ?? []);
     this.size = able.length;
     this.at = Int32Array.from(able);
     this.fromS = Float64Array.from(able, (i) => starts[i] as number);
--- a/packages/planner/src/reserve.ts
+++ b/packages/planner/src/reserve.ts
@@ -1,6 +1,9 @@
 import type { MachineType } from '@spurbridge/wire';
 import type { FleetInput, FleetMachine, Rent } from './fleet.js';
 
+/** Machines rented for the reserve by one plan of the fleet. */
+const MOST_AT_ONCE = 4;
+
 type Rents = Map<string, { -readonly [K in keyof Rent]: Rent[K] }>;
 
 /**
@@ -86,7 +89,8 @@
     if (best === null) return;
     const key = `${best.type.name}/${best.zone}/false`;
     const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: false, count: 0 };
-    rent.count += 1;
+    // Several at once where much is missing, as after the loss of a zone; which zone is short of most may change with each.
+    rent.count += Math.min(MOST_AT_ONCE, Math.ceil(missing / best.type.cpus));
     rents.set(key, rent);
   }
 
--- a/packages/shares/src/balance.ts
+++ b/packages/shares/src/balance.ts
@@ -22,8 +22,12 @@
 const END = 1.05;
 /** Fewer than this are not worth a move. */
 const LEAST = 8;
-/** Moves a second at most: each is a new connection at the other end. */
+/**
+ * Moves a second at most: each is a new connection at the other end. A node that holds thousands moves a fiftieth of them, so
+ * that a share of any size is even within some minutes.
+ */
 const MOVES_PER_S = 25;
+const MOVED_SHARE = 0.02;
 /**
  * A machine goes to a node of its own zone, which a cut leaves together, as long as that node has no more than this much of
  * its part: less than where shedding begins, so that none comes back.
@@ -98,7 +102,8 @@
     const before = this.sent.get(best.node);
     const count = before !== undefined && before.said === best.machines ? before.count + 1 : 1;
     this.sent.set(best.node, { said: best.machines, count });
-    this.nextAt = (now + 1000 / (isShedding ? MOVES_PER_S : HOME_MOVES_PER_S)) as Ms;
+    const perS = isShedding ? Math.max(MOVES_PER_S, own.machines * MOVED_SHARE) : HOME_MOVES_PER_S;
+    this.nextAt = (now + 1000 / perS) as Ms;
     return best.node;
   }
 }
