Starvation by the queue's own time; the fittest node campaigns first

Cause: with a fixed 30 s every waiting job of a burst was starved and went in the order of its arrival, each at the last moment: of 180 jobs of one half minute none was in time. Processes that had just begun, and leaders that had lost their lease for want of processor time, won elections by turns while a node that ran on stood by. Change: starved is who waits for 30 s and for twice the time in which all that waits could be done; nodes say what speaks against them (begun lately, late timers, a lease lost lately) and the others wait their turn, 1.2 s at most.

--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -2,7 +2,7 @@
 import { later } from '@spurbridge/net';
 import type { Holder } from '@spurbridge/shares';
 import { Balance, Pending, Share } from '@spurbridge/shares';
-import type { Leadership } from '@spurbridge/store';
+import type { Candidate, Leadership } from '@spurbridge/store';
 import type {
   Forward,
   ForwardAnswer,
@@ -90,6 +90,16 @@
     };
   }
 
+  /** Nodes that may lead, as they said lately: served by the state service, and connected. */
+  candidates(): Candidate[] {
+    const now = this.p.clock.now();
+    const found: Candidate[] = [];
+    for (const [node, { status, at }] of this.others)
+      if (status.stateOk && now - at < PEER_MS && this.p.peers.isOpen(node))
+        found.push({ node, burden: status.burden });
+    return found;
+  }
+
   /** Whether a worker that reports here gets a real answer. */
   private isAble(): boolean {
     return this.p.leads() || this.leaderHere() !== null;
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -2,7 +2,8 @@
 import type { WallMs } from '@spurbridge/model';
 import type { Clock } from '@spurbridge/net';
 import type { GuardedStore } from '@spurbridge/recovery';
-import { Leadership } from '@spurbridge/store';
+import type { Candidate } from '@spurbridge/store';
+import { Leadership, standsBackMs } from '@spurbridge/store';
 import type {
   JobId,
   JobProgress,
@@ -14,6 +15,7 @@
 } from '@spurbridge/wire';
 import { JobService } from './jobs.js';
 import { Leader } from './leader.js';
+import { Fitness } from './fitness.js';
 import { Holding } from './holding.js';
 import type { Log } from './log.js';
 import type { PeerLink } from './peers.js';
@@ -58,12 +60,14 @@
   readonly leadership: Leadership;
   private readonly peers: PeerLink;
   private readonly holding: Holding;
+  private readonly fitness: Fitness;
   private leader: Leader | null = null;
   private machineTypes: readonly MachineType[] = [];
   private readonly progress = new Map<JobId, JobProgress>();
 
   constructor(private readonly parts: NodeParts) {
     const { settings, store, clock, log } = parts;
+    this.fitness = new Fitness(clock);
     this.leadership = new Leadership(store, clock, settings.node, parts.incarnation, {
       elected: (token) => {
         this.elected(token);
@@ -72,6 +76,7 @@
         this.leader?.requestPlan();
       },
       deposed: (reason) => {
+        this.fitness.lost();
         this.leader?.depose();
         this.leader = null;
         log.info({ reason }, 'no longer leading');
@@ -80,6 +85,7 @@
         log.info(fields, message);
       },
       hasPeers: () => this.peers.someoneServed(),
+      standsBackMs: () => standsBackMs(this.candidate(), this.holding.candidates()),
     });
     this.peers = parts.link(
       () => this.status(),
@@ -126,6 +132,7 @@
       this.learnTypes(),
       this.peers.run(),
       this.holding.run(),
+      this.fitness.run(),
     ]);
   }
 
@@ -183,6 +190,10 @@
     }
   }
 
+  private candidate(): Candidate {
+    return { node: this.parts.settings.node, burden: this.fitness.burden };
+  }
+
   private stateServed(): boolean {
     const since = this.parts.store.failingSince();
     return since === null || this.parts.clock.now() - since < STATE_LOST_MS;
@@ -198,6 +209,7 @@
         stateOk: this.stateServed(),
         ...this.parts.store.status(),
         ...this.holding.status(this.leader?.isReady === true),
+        burden: this.fitness.burden,
       },
     };
   }
--- a/packages/planner/src/plan/bounds.ts
+++ b/packages/planner/src/plan/bounds.ts
@@ -4,7 +4,7 @@
 import type { Ground } from './ground.js';
 import { Pool, pooled } from './pool.js';
 import { mayPreempt } from './preempt.js';
-import type { Queue } from './queue.js';
+import type { Pooled, Queue } from './queue.js';
 import { settle } from './settle.js';
 import type { Evaluation, Kind } from './types.js';
 import { EPSILON } from './epsilon.js';
@@ -59,6 +59,23 @@
   return false;
 }
 
+/** When all the work that waits could be done, if it were spread evenly over what comes free, in seconds. */
+export function drainS(g: Ground, jobs: readonly JobView[]): number {
+  let work = 0;
+  for (const { spec, pendingCount, estimateS } of jobs)
+    if (spec.kind !== 'service') work += spec.cpus * pendingCount * Math.max(estimateS, 0.5);
+  return work === 0 ? 0 : poolOf(g, 'cpus').doneAt(work);
+}
+
+function poolOf(g: Ground, of: Pooled): Pool {
+  let pool = g.pools.get(of);
+  if (pool === undefined) {
+    pool = new Pool(g.queues, of);
+    g.pools.set(of, pool);
+  }
+  return pool;
+}
+
 /** No sooner than this can the job complete. */
 export function bound(g: Ground, job: JobView): number {
   if (job.spec.kind === 'service') return 0;
@@ -66,11 +83,7 @@
   const runS = Math.max(job.estimateS, 0.5);
   let completionS = 0;
   for (const of of pooled(spec)) {
-    let pool = g.pools.get(of);
-    if (pool === undefined) {
-      pool = new Pool(g.queues, of);
-      g.pools.set(of, pool);
-    }
+    const pool = poolOf(g, of);
     const work = spec[of] * job.pending.length * runS;
     completionS = Math.max(completionS, pool.freeAt(spec[of]) + runS, pool.doneAt(work));
   }
--- a/packages/planner/src/plan/ground.ts
+++ b/packages/planner/src/plan/ground.ts
@@ -32,6 +32,8 @@
   readonly kindOf = new Map<JobView, Kind>();
   readonly pools = new Map<Pooled, Pool>();
   epoch = 0;
+  /** A job whose tasks have waited for longer on average goes first. */
+  starvationS: number;
   /** Queues looked at: what a plan costs, whatever the machine it runs on. */
   steps = 0;
   // Scratch of one evaluation, by queue index.
@@ -53,6 +55,7 @@
     readonly s: Snapshot,
     readonly options: PlanOptions,
   ) {
+    this.starvationS = s.starvationS;
     this.queues = s.machines.filter((m) => m.takesTasks).map((m) => Queue.of(m));
     const n = this.queues.length;
     this.startS = new Float64Array(n);
--- a/packages/planner/src/plan/index.ts
+++ b/packages/planner/src/plan/index.ts
@@ -1,6 +1,6 @@
 import { Heap } from '../heap.js';
 import type { JobView, Snapshot } from '../snapshot.js';
-import { bound, classify, exhausted, holds, leave } from './bounds.js';
+import { bound, classify, drainS, exhausted, holds, leave } from './bounds.js';
 import { evaluate } from './evaluate.js';
 import { Ground } from './ground.js';
 import { meanWait, misses, tierOf } from './order.js';
@@ -11,6 +11,12 @@
 export { allows, fetchSeconds } from './types.js';
 export type { Plan, PlanOptions, Start, Stop, Unmet } from './types.js';
 
+/**
+ * Who waits as long as everybody does is not starved: that is who waits for so many times the time in which all that waits could be
+ * done. With a fixed time alone a burst was served in the order of its arrival, each job at the last moment and none in time.
+ */
+const STARVED_AFTER = 2;
+
 interface Rest {
   readonly bound: number;
   readonly job: JobView;
@@ -19,12 +25,13 @@
 }
 
 function isStarved(g: Ground, job: JobView): boolean {
-  return meanWait(job) > g.s.starvationS;
+  return meanWait(job) > g.starvationS;
 }
 
 function planAll(g: Ground): Plan {
   const waiting = g.s.jobs.filter((j) => j.startable && j.pending.length > 0);
   for (const j of waiting) classify(g, j);
+  g.starvationS = Math.max(g.s.starvationS, drainS(g, waiting) * STARVED_AFTER);
   const tiers = new Map<number, JobView[]>();
   for (const j of waiting) {
     const tier = tierOf(j, g.guaranteed.has(j));
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,3 @@
 export * from './client.js';
 export * from './lease.js';
+export * from './candidate.js';
--- a/packages/store/src/lease.ts
+++ b/packages/store/src/lease.ts
@@ -33,6 +33,8 @@
   log(message: string, fields: Record<string, unknown>): void;
   /** Whether another node is heard that may lead. */
   hasPeers?(): boolean;
+  /** So long others may lead first where nobody does, in milliseconds. */
+  standsBackMs?(): number;
 }
 
 const TRANSITIONS: Record<LeadershipState, readonly LeadershipState[]> = {
@@ -47,6 +49,8 @@
   private lease: LeaseId | null = null;
   private confirmedAt: Ms | null = null;
   private standsBackUntil = 0 as Ms;
+  /** Since when nobody was found leading. */
+  private vacantSince: Ms | null = null;
   private staysUntil = 0 as Ms;
   /** Until then others that run have had no time to say so. */
   private readonly metAt: Ms;
@@ -207,10 +211,17 @@
   private async follow(): Promise<void> {
     const found = await this.store.read(LEADER_KEY, 0);
     if (found.outcome === 'absent') {
-      if (this.clock.now() < this.standsBackUntil) await this.clock.sleep(RETRY_MS);
+      const now = this.clock.now();
+      this.vacantSince ??= now;
+      const turnAt = Math.max(
+        this.standsBackUntil,
+        later(this.vacantSince, this.events.standsBackMs?.() ?? 0),
+      );
+      if (now < turnAt) await this.clock.sleep(Math.min(RETRY_MS, turnAt - now));
       else await this.campaign();
       return;
     }
+    if (found.outcome === 'found') this.vacantSince = null;
     if (found.outcome !== 'found') {
       await this.clock.sleep(RETRY_MS * 1.5);
       return;
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -29,6 +29,8 @@
   readonly machines: number;
   /** Whether workers may be sent to it: it can answer them, and has long been able to. */
   readonly holds: boolean;
+  /** What speaks against it as a leader (`Candidate` of the store); 0: nothing, or of an earlier version. */
+  readonly burden: number;
 }
 
 export interface JobProgress {
@@ -60,7 +62,8 @@
   .add(new Field('takesReports', 10, 'bool'))
   .add(new Field('ready', 11, 'bool'))
   .add(new Field('machines', 12, 'uint32'))
-  .add(new Field('holds', 13, 'bool'));
+  .add(new Field('holds', 13, 'bool'))
+  .add(new Field('burden', 14, 'uint32'));
 const Progress = new Type('Progress')
   .add(new Field('job', 1, 'string'))
   .add(new Field('done', 2, 'uint32'))
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -166,6 +166,7 @@
       trusted: fc.boolean(),
       continuous: fc.boolean(),
       takesReports: fc.boolean(),
+      burden: fc.nat(9),
       ready: fc.boolean(),
       machines: fc.nat(),
       holds: fc.boolean(),
