--- a/packages/planner/src/plan/order.ts
+++ b/packages/planner/src/plan/order.ts
@@ -4,9 +4,13 @@
 /** A job past its last milestone by this factor is no longer put behind the others. */
 export const PATIENT = 5;
 
-/** Services before the order, then by priority; what a team is guaranteed goes before what it borrows. */
+/**
+ * By priority, then what a team is guaranteed before what it borrows, then services before the order. Nobody is placed before
+ * work that it would be stopped for: a service of low priority took the room that was made for an array of higher priority, was
+ * stopped for it and took it again, every second.
+ */
 export function tierOf(j: JobView, guaranteed: boolean): number {
-  return (j.spec.kind === 'service' ? 0 : 10) + PRIORITY_ORDER[j.spec.priority] * 2 + (guaranteed ? 0 : 1);
+  return PRIORITY_ORDER[j.spec.priority] * 4 + (guaranteed ? 0 : 2) + (j.spec.kind === 'service' ? 0 : 1);
 }
 
 /** Whether the job would miss the milestone of this level, complete or started. */
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -253,6 +253,19 @@
   assert.equal(plan(snapshot(older, [machine(0)])).starts[0]?.job, id(0), 'twice the time for all of it');
 });
 
+// It took the room that was made for the array, was stopped for it and took it again, every second.
+test('a service of low priority is not placed before work that it would be stopped for', () => {
+  const service = view(
+    jobSpec({ id: id(1), kind: 'service', cpus: 4, tasks: 1, estimateS: 0, priority: 'low' }),
+  );
+  const array = view(
+    jobSpec({ id: id(2), cpus: 4, tasks: 1, estimateS: 20, priority: 'normal', team: 'blue' }),
+  );
+  assert.equal(plan(snapshot([service, array], [machine(0)])).starts[0]?.job, id(2));
+  const alike = { ...service, spec: { ...service.spec, priority: 'normal' as const } };
+  assert.equal(plan(snapshot([alike, array], [machine(0)])).starts[0]?.job, id(1));
+});
+
 // Summed over its tasks, a huge array passed the starvation threshold within seconds.
 test('a huge array is not starved sooner than a small job', () => {
   const huge = view(jobSpec({ id: id(1), cpus: 4, tasks: 30, estimateS: 20 }), { summedWaitS: 120 });
