Rents in one place; no second look at what fits; queues swept without a second check

The map of what a plan rents was written out four times, now `Rents` serves all. `fitsBy` was `earliestStart` with a bound and is gone. A direct call's answer released its machine's queue twice. `FIND_MS` stood in two files.

--- a/packages/controller/src/awaited.ts
+++ b/packages/controller/src/awaited.ts
@@ -41,10 +41,6 @@
     return this.entries.size;
   }
 
-  has(id: MachineId): boolean {
-    return this.entries.has(id);
-  }
-
   ids(): Iterable<MachineId> {
     return this.entries.keys();
   }
--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -145,7 +145,6 @@
       leadership.observe(outcome.report.token, null);
       if (!this.tenure.active) return;
       this.onReport(outcome.report);
-      this.queues.release(m.id);
       if (outcome.outcome === 'rejected') return;
     }
   }
--- a/packages/controller/src/queues.ts
+++ b/packages/controller/src/queues.ts
@@ -3,7 +3,7 @@
 import type { Ms } from '@spurbridge/net';
 import { PRIORITY_ORDER } from '@spurbridge/planner';
 import type { MachineId } from '@spurbridge/wire';
-import type { Cluster, Held } from './cluster.js';
+import type { Cluster } from './cluster.js';
 
 /** A head that has waited for longer than this is placed anew: what runs before it takes longer than was estimated. */
 const PATIENCE_MS = 6000;
@@ -86,18 +86,16 @@
     if (!this.having.has(id)) return;
     let waits = false;
     const takes = this.cluster.machines.get(id)?.takesTasks === true;
-    for (const held of [...this.cluster.heldOn(id)]) {
-      const p = held.job.placements.get(held.task);
-      if (p !== undefined && isUnsent(p)) waits = true;
-      if (p?.state !== 'queued' || held.job.gang !== null) continue;
-      if (p.stop !== null) this.giveUp(held, p, 'gave way');
-      else if (!takes) this.giveUp(held, p, 'its machine takes no tasks');
-      else if (this.now() - p.since > PATIENCE_MS) this.giveUp(held, p, 'its place did not come free');
+    for (const { job, task } of [...this.cluster.heldOn(id)]) {
+      const p = job.placements.get(task);
+      if (p === undefined || !isUnsent(p)) continue;
+      waits = true;
+      if (p.state !== 'queued') continue;
+      if (p.stop !== null) this.cluster.gone(job, p, false, 'gave way');
+      else if (!takes) this.cluster.gone(job, p, false, 'its machine takes no tasks');
+      else if (this.now() - p.since > PATIENCE_MS)
+        this.cluster.gone(job, p, false, 'its place did not come free');
     }
     if (!waits) this.having.delete(id);
   }
-
-  private giveUp({ job }: Held, p: Placement, why: string): void {
-    if (isUnsent(p)) this.cluster.gone(job, p, false, why);
-  }
 }
--- a/packages/controller/src/settings.ts
+++ b/packages/controller/src/settings.ts
@@ -55,7 +55,7 @@
 }
 
 /** After a takeover, workers find the new leader with their next report, or with the one after. */
-const FIND_MS = 3250;
+export const FIND_MS = 3250;
 
 /** Whoever was not heard by a new leader for this long will hardly come by itself. */
 export function unheardMs(s: Settings): number {
--- a/packages/controller/src/zones.ts
+++ b/packages/controller/src/zones.ts
@@ -2,6 +2,7 @@
 import { Transitions } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
+import { FIND_MS } from './settings.js';
 
 /**
  * `whole`: heard as usual. `away`: as good as none of its many machines is heard, while others are: cut off, more likely than dead at
@@ -20,8 +21,6 @@
 /** Lately: this long, and as long as so many reports of the zone usually take. */
 const QUIET_MS = 2000;
 const QUIET_REPORTS = 12;
-/** After a takeover workers of a node that ended find another with their next report, or with the one after. */
-const FIND_MS = 3250;
 /** Of a zone's machines so many heard lately: it is not heard, but for single ones that have just come up; and it is. */
 const UNHEARD = 0.05;
 const HEARD = 0.2;
--- a/packages/planner/src/fleet.ts
+++ b/packages/planner/src/fleet.ts
@@ -2,6 +2,7 @@
 import type { JobSpec, MachineId, MachineType } from '@spurbridge/wire';
 import { keepPace } from './pace.js';
 import type { Unmet } from './plan/index.js';
+import { Rents } from './rents.js';
 import { Reserve } from './reserve.js';
 
 export interface FleetMachine {
@@ -150,12 +151,12 @@
       gpus: m.type.gpus - m.usedGpus,
       memoryGb: m.type.memoryGb - m.usedMemoryGb,
     }));
-  const rents = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+  const rents = new Rents();
   const perZone = new Map<string, number>();
   const typical = typicalPrice(input.types);
   const attention = (): number => {
     let count = input.machines.length;
-    for (const r of rents.values()) count += r.count;
+    for (const r of rents.list()) count += r.count;
     return Math.max(0, count / input.policy.easyMachines - 0.5) * typical;
   };
   for (const m of input.machines) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + m.type.cpus);
@@ -167,9 +168,9 @@
   const release = surplus(input, reserve);
   const drain = release.length > 0 || !input.policy.consolidates ? null : consolidate(input, reserve);
   if (input.policy.frugal) reserve.keep(rents);
-  if (drain?.swapCpus !== undefined) swap(input, drain.swapCpus, rents);
+  const swapped = drain?.swapCpus === undefined ? null : swap(input, drain.swapCpus);
   return {
-    rent: [...rents.values()],
+    rent: swapped === null ? rents.list() : [...rents.list(), swapped],
     release,
     drain: drain === null || drain.swapCpus !== undefined ? null : drain.id,
   };
@@ -179,7 +180,7 @@
   input: FleetInput,
   u: Unmet,
   coming: Coming[],
-  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
+  rents: Rents,
   perZone: Map<string, number>,
   attention: () => number,
 ): void {
@@ -247,10 +248,7 @@
     }
     if (best === null) return;
     if (spec.oneZone) zone = best.zone;
-    const key = `${best.type.name}/${best.zone}/${best.spot}`;
-    const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: best.spot, count: 0 };
-    rent.count += 1;
-    rents.set(key, rent);
+    rents.add(best.type, best.zone, best.spot, 1);
     perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + best.type.cpus);
     const c: Coming = {
       type: best.type,
@@ -371,11 +369,7 @@
 }
 
 /** Spot machines in place of an ordinary one that mostly runs work which may use them. */
-function swap(
-  input: FleetInput,
-  cpus: number,
-  rents: Map<string, { type: string; zone: string; spot: boolean; count: number }>,
-): void {
+function swap(input: FleetInput, cpus: number): Rent | null {
   let best: { type: MachineType; zone: string; price: number } | null = null;
   for (const type of input.types)
     for (const zone of type.zones) {
@@ -383,8 +377,7 @@
       const price = type.spotPrice / type.cpus;
       if (best === null || price < best.price) best = { type, zone, price };
     }
-  if (best !== null)
-    rents.set(`swap/${best.type.name}`, { type: best.type.name, zone: best.zone, spot: true, count: 1 });
+  return best === null ? null : { type: best.type.name, zone: best.zone, spot: true, count: 1 };
 }
 
 /** Queued work that starts this soon is no reason to keep a machine. */
--- a/packages/planner/src/pace.ts
+++ b/packages/planner/src/pace.ts
@@ -1,7 +1,8 @@
 import { fitsType } from '@spurbridge/model';
 import type { MachineType } from '@spurbridge/wire';
-import type { FleetInput, Rent } from './fleet.js';
+import type { FleetInput } from './fleet.js';
 import type { Unmet } from './plan/index.js';
+import type { Rents } from './rents.js';
 
 /** Arrivals are uneven: so much more than the fleet must come before it is a burst. */
 const BURST = 1.2;
@@ -12,7 +13,7 @@
  */
 export function keepPace(
   input: FleetInput,
-  rents: Map<string, { -readonly [K in keyof Rent]: Rent[K] }>,
+  rents: Rents,
   /** What looking after one more machine is taken to cost. */
   attention: number,
 ): void {
@@ -21,7 +22,7 @@
   if (!policy.frugal || waiting === undefined) return;
   let capacity = 0;
   for (const m of machines) if (m.takesTasks || m.booting) capacity += m.type.cpus - m.steadyCpus;
-  for (const r of rents.values()) capacity += r.count * (types.find((t) => t.name === r.type)?.cpus ?? 0);
+  for (const r of rents.list()) capacity += r.count * (types.find((t) => t.name === r.type)?.cpus ?? 0);
   if (policy.burstCpus < capacity * BURST) return;
   const { spec } = waiting.job;
   const options: { type: MachineType; zone: string; spot: boolean; score: number }[] = [];
@@ -45,12 +46,8 @@
   if (best === undefined) return;
   const count = Math.ceil((policy.burstCpus - capacity) / best.type.cpus);
   const alike = options.filter((o) => o.type === best.type && o.spot === best.spot);
-  for (const [i, o] of alike.entries()) {
-    const key = `${o.type.name}/${o.zone}/${o.spot}`;
-    const rent = rents.get(key) ?? { type: o.type.name, zone: o.zone, spot: o.spot, count: 0 };
-    rent.count += Math.floor((count + i) / alike.length);
-    if (rent.count > 0) rents.set(key, rent);
-  }
+  for (const [i, o] of alike.entries())
+    rents.add(o.type, o.zone, o.spot, Math.floor((count + i) / alike.length));
 }
 
 function isWaiting(u: Unmet): boolean {
--- a/packages/planner/src/plan/bounds.ts
+++ b/packages/planner/src/plan/bounds.ts
@@ -54,7 +54,7 @@
   for (; k.cursor < order.size && (order.fromS[k.cursor] as number) <= headS; k.cursor += 1) {
     const q = g.queues[order.at[k.cursor] as number] as Queue;
     g.steps += 1;
-    if (q.fitsBy(k.sample.spec, headS) && allows(k.sample, q.machine)) return true;
+    if (q.earliestStart(k.sample.spec) <= headS && allows(k.sample, q.machine)) return true;
   }
   return false;
 }
--- a/packages/planner/src/plan/queue.ts
+++ b/packages/planner/src/plan/queue.ts
@@ -76,23 +76,6 @@
     return copy;
   }
 
-  /** Whether a task of this size could start by then. */
-  fitsBy(need: Need, byS: number): boolean {
-    if (this.lastStartS > byS) return false;
-    let cpus = this.cpus - need.cpus;
-    let gpus = this.gpus - need.gpus;
-    let memory = this.memoryGb - need.memoryGb;
-    if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return true;
-    for (const l of this.loads) {
-      if (l.endS > byS) return false;
-      cpus += l.cpus;
-      gpus += l.gpus;
-      memory += l.memoryGb;
-      if (cpus >= -EPSILON && gpus >= -EPSILON && memory >= -EPSILON) return true;
-    }
-    return false;
-  }
-
   /** Earliest start of a task of this size, or Infinity. */
   earliestStart(need: Need): number {
     const t = this.machine.type;
--- /dev/null
+++ b/packages/planner/src/rents.ts
@@ -0,0 +1,19 @@
+import type { MachineType } from '@spurbridge/wire';
+import type { Rent } from './fleet.js';
+
+/** What one plan of the fleet rents, by type, zone and kind. */
+export class Rents {
+  private readonly all = new Map<string, { -readonly [K in keyof Rent]: Rent[K] }>();
+
+  add(type: MachineType, zone: string, spot: boolean, count: number): void {
+    if (count <= 0) return;
+    const key = `${type.name}/${zone}/${spot}`;
+    const rent = this.all.get(key) ?? { type: type.name, zone, spot, count: 0 };
+    rent.count += count;
+    this.all.set(key, rent);
+  }
+
+  list(): Rent[] {
+    return [...this.all.values()];
+  }
+}
--- a/packages/planner/src/reserve.ts
+++ b/packages/planner/src/reserve.ts
@@ -1,11 +1,10 @@
 import type { MachineType } from '@spurbridge/wire';
-import type { FleetInput, FleetMachine, Rent } from './fleet.js';
+import type { FleetInput, FleetMachine } from './fleet.js';
+import type { Rents } from './rents.js';
 
 /** Machines rented for the reserve by one plan of the fleet. */
 const MOST_AT_ONCE = 4;
 
-type Rents = Map<string, { -readonly [K in keyof Rent]: Rent[K] }>;
-
 /**
  * Ordinary room that services may take at once: free, or held by work that can be stopped for them. Where services spread
  * over zones, a zone's room serves only as far as the others have as much: all of the reserve once lay in one zone, and half
@@ -44,11 +43,9 @@
   /** How much is missing of what the recent past says will be needed. */
   private missing(lessIn: string | null = null, less = 0): number {
     const { targetOrdinaryCpus } = this.input.policy;
-    const lessCpus = lessIn === null ? 0 : less;
-    const wanted = targetOrdinaryCpus - this.steady;
     return Math.max(
-      targetOrdinaryCpus - (this.cpus - lessCpus),
-      Math.min(wanted, targetOrdinaryCpus) - this.usable(lessIn, less),
+      targetOrdinaryCpus - (this.cpus - less),
+      targetOrdinaryCpus - this.steady - this.usable(lessIn, less),
     );
   }
 
@@ -66,7 +63,7 @@
   /** Rents a machine for what is missing, where it is missing most. */
   keep(rents: Rents): void {
     const { types, available } = this.input;
-    for (const r of rents.values()) {
+    for (const r of rents.list()) {
       const type = types.find((t) => t.name === r.type);
       if (r.spot || type === undefined) continue;
       this.cpus += r.count * type.cpus;
@@ -87,11 +84,8 @@
           best = { type, zone, score, room };
       }
     if (best === null) return;
-    const key = `${best.type.name}/${best.zone}/false`;
-    const rent = rents.get(key) ?? { type: best.type.name, zone: best.zone, spot: false, count: 0 };
     // Several at once where much is missing, as after the loss of a zone; which zone is short of most may change with each.
-    rent.count += Math.min(MOST_AT_ONCE, Math.ceil(missing / best.type.cpus));
-    rents.set(key, rent);
+    rents.add(best.type, best.zone, false, Math.min(MOST_AT_ONCE, Math.ceil(missing / best.type.cpus)));
   }
 
   private sum(): number {
