An answer that renews a lease stops what is cancelled, whoever gives it

A leader past its lease went on answering reports without any order, a holder under a grant too, and a new leader for five seconds before it had read anything: each renewed leases up to a horizon counted from its own last contact, also of machines with tasks whose cancellation was confirmed, known and not delivered.

Every answer now stops what its giver knows to be cancelled; what it does not know is younger than its records, and those must be within the horizon: read records for a leader, its node's copy before that. An answer with such a stop brings no grant. A direct start of a cancelled task that is unanswered and was never seen may arrive after any stop: past the horizon its machine is not renewed any more.

--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -1,9 +1,11 @@
 import type { Job, Machine } from '@spurbridge/model';
+import { later } from '@spurbridge/net';
 import type { Attempt, JobId, MachineId, WorkerCommand, WorkerReport } from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import { isKeptBack } from './gangs.js';
 import type { Queues } from './queues.js';
+import { answerHorizonMs } from './settings.js';
 import type { Tenure } from './tenure.js';
 
 const PUSH_ROUNDS = 5;
@@ -36,14 +38,60 @@
     });
   }
 
-  /** Orders for the answer to a report of this machine. */
-  ordersFor(r: WorkerReport): WorkerCommand[] {
+  /**
+   * Orders for the answer to a report of this machine; null: it may not be answered, since that renews its lease
+   * (docs/design.md, "Renewals"). Whoever answers, whatever has become of its own lease, stops what it knows to be
+   * cancelled: that is final, and what the answer renews must be gone in time.
+   */
+  ordersFor(r: WorkerReport): WorkerCommand[] | null {
     const m = this.cluster.machines.get(r.machine);
-    if (m === undefined || m.session !== r.session || !this.tenure.c.leadership.holdsSurely()) return [];
-    this.queues.release(m.id);
-    this.urgent.delete(m.id);
-    this.waiting.delete(m.id);
-    return [...this.commandsFor(m, true), ...this.cleanUp(m, r)];
+    if (m === undefined || m.session !== r.session) return this.cancelledIn(r);
+    if (this.mayStartLate(m)) return null;
+    const isSure = this.tenure.c.leadership.holdsSurely();
+    if (isSure) {
+      this.queues.release(m.id);
+      this.urgent.delete(m.id);
+      this.waiting.delete(m.id);
+    }
+    const due = [...this.commandsFor(m, true), ...this.cleanUp(m, r)];
+    return isSure ? due : due.filter((c) => this.stopsCancelled(c));
+  }
+
+  private stopsCancelled(c: WorkerCommand): boolean {
+    return c.op === 'stop' && this.phaseOf(c.job) === 'cancelled';
+  }
+
+  /** Stops of what a report shows and what is known to be cancelled, by the leader's own records first. */
+  cancelledIn(r: WorkerReport): WorkerCommand[] {
+    return cancelledIn(r, (id) => this.phaseOf(id));
+  }
+
+  private phaseOf(id: JobId): string | null {
+    return this.cluster.jobs.get(id)?.state ?? this.tenure.c.trust.phaseOf(id);
+  }
+
+  /** Whether anything cancelled may be on the machine, or is stopped there by these orders. */
+  isCancelledOn(id: MachineId, orders: readonly WorkerCommand[]): boolean {
+    for (const { job } of this.cluster.heldOn(id)) if (job.state === 'cancelled') return true;
+    return orders.some((c) => this.stopsCancelled(c));
+  }
+
+  /**
+   * Whether a direct start of a cancelled task, never seen there, may be on its way still and come after this answer's stop:
+   * held up by a cut between this node and the machine, which others pass on reports of, it ran after `cancel_s`. Past the
+   * horizon the machine's lease is left to end, and its session with it.
+   */
+  private mayStartLate(m: Machine): boolean {
+    if (m.unanswered.size === 0) return false;
+    const horizonMs = answerHorizonMs(this.tenure.c.settings);
+    for (const { job, task } of this.cluster.heldOn(m.id)) {
+      const p = job.placements.get(task);
+      if (job.state !== 'cancelled' || p?.state !== 'starting' || p.session !== m.session) continue;
+      if (!m.unanswered.has(startName(job.spec.id, task, p.attempt))) continue;
+      if (job.cancelledAfter === null) return true;
+      if (this.tenure.c.clock.now() > later(job.cancelledAfter, horizonMs)) return true;
+    }
+    return false;
   }
 
   /** Starts and stops due on a machine. In a report's answer everything not yet seen is repeated. */
@@ -150,6 +198,13 @@
   }
 }
 
+/** Stops of the reported tasks whose jobs are cancelled. */
+export function cancelledIn(r: WorkerReport, phaseOf: (id: JobId) => string | null): WorkerCommand[] {
+  return r.tasks
+    .filter((t) => t.phase !== 'exited' && phaseOf(t.job) === 'cancelled')
+    .map((t) => ({ op: 'stop' as const, job: t.job, task: t.task, attempt: t.attempt, graceS: 0 }));
+}
+
 /** How an unanswered start is remembered on its machine. */
 export function startName(job: JobId, task: number, attempt: Attempt): string {
   return `${formatTaskName(job, task)}#${attempt}`;
--- a/packages/controller/src/following.ts
+++ b/packages/controller/src/following.ts
@@ -1,25 +1,19 @@
 import type { Ms } from '@spurbridge/net';
-import { later } from '@spurbridge/net';
 import type { Item, Revision } from '@spurbridge/wire';
 import { answerHorizonMs } from './settings.js';
 import type { Tenure } from './tenure.js';
 
 /** Short, so that what is known of cancellations is never much older than that. */
 const WATCH_MS = 2000;
-/** Before its first load a leader keeps the workers alive for this long at most. */
-const LOAD_MS = 5000;
 
 /** Follows records that any node writes, and knows as of when they are known here. */
 export class Following {
-  /** Every change confirmed to a user before this is known here. */
-  private freshAt: Ms;
+  private freshAt: Ms | null = null;
 
   constructor(
     private readonly tenure: Tenure,
     private readonly prefix: string,
-  ) {
-    this.freshAt = later(tenure.electedAt, LOAD_MS - answerHorizonMs(tenure.c.settings));
-  }
+  ) {}
 
   /**
    * Whether reports may be answered: that keeps tasks alive, and those cancelled since what is known here
@@ -30,9 +24,14 @@
     return this.ageMs <= answerHorizonMs(this.tenure.c.settings);
   }
 
-  /** How old what is known here is, in milliseconds. */
+  /** Every change confirmed to a user before this is known here; null until the records were read. */
+  get asOf(): Ms | null {
+    return this.freshAt;
+  }
+
+  /** How old what is known here is, in milliseconds; Infinity until the records were read. */
   get ageMs(): number {
-    return this.tenure.c.clock.now() - this.freshAt;
+    return this.freshAt === null ? Infinity : this.tenure.c.clock.now() - this.freshAt;
   }
 
   /** All records were read, by requests that began then. */
@@ -53,7 +52,6 @@
       if (!this.tenure.active) return;
       if (seen.outcome === 'events') {
         revision = seen.revision;
-        this.freshAt = askedAt;
         if (seen.events.length > 0)
           take(
             seen.events.flatMap((e) =>
@@ -61,12 +59,13 @@
             ),
             false,
           );
+        this.freshAt = askedAt;
       } else if (seen.outcome === 'compacted') {
         const all = await store.list(this.prefix, 0);
         if (all.outcome !== 'listed') continue;
         revision = all.revision;
-        this.freshAt = askedAt;
         take(all.items, true);
+        this.freshAt = askedAt;
       } else await clock.sleep(150);
     }
   }
--- a/packages/controller/src/holding.ts
+++ b/packages/controller/src/holding.ts
@@ -10,9 +10,10 @@
   PeerMessage,
   PeerStatus,
   Token,
+  WorkerCommand,
   WorkerReport,
 } from '@spurbridge/wire';
-import type { ReportAnswer } from './node.js';
+import type { LeaderAnswer, ReportAnswer } from './node.js';
 import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
 import { longestReportMs } from './settings.js';
@@ -46,10 +47,9 @@
   /** Whether this node leads and answers reports itself. */
   readonly leads: () => boolean;
   /** A forwarded report, answered as the leader answers its own. */
-  readonly answer: (
-    r: WorkerReport,
-    forwarded: boolean,
-  ) => Exclude<ReportAnswer, { code: 421 }> & { readonly grantMs: number };
+  readonly answer: (r: WorkerReport, forwarded: boolean) => LeaderAnswer;
+  /** Stops of what the report shows and this node knows to be cancelled. */
+  readonly cancelled: (r: WorkerReport) => readonly WorkerCommand[];
   /** A report whose worker was answered already. */
   readonly hear: (r: WorkerReport, ageMs: number) => void;
 }
@@ -57,7 +57,7 @@
 /**
  * The machines whose workers report to this node, whoever leads (docs/shares.md). A node that does not lead passes
  * their reports to the leader and its answers to them; while no leader answers it keeps the leases alive under the
- * last one's grant, without orders. It decides nothing about them.
+ * last one's grant, with no orders but to stop what is cancelled. It decides nothing about them.
  */
 export class Holding {
   readonly share: Share;
@@ -159,7 +159,8 @@
 
   private underGrant(r: WorkerReport): ReportAnswer | null {
     const token = this.share.granted(r.machine, this.highest);
-    return token === null ? null : { code: 200, token, commands: [] };
+    // A durable cancellation is final, whoever leads: to stop it needs no more than a token that the worker takes.
+    return token === null ? null : { code: 200, token, commands: this.p.cancelled(r) };
   }
 
   private async forward(leader: NodeId, r: WorkerReport): Promise<ReportAnswer | null> {
@@ -215,8 +216,9 @@
     const away = this.awayFor(r, true);
     if (away !== null) return away;
     const answer = this.p.answer(r, false);
-    if (answer.code === 200) this.share.reported(r);
-    return answer;
+    if (answer.code !== 200) return answer;
+    this.share.reported(r);
+    return { code: 200, token: answer.token, commands: answer.commands };
   }
 
   // --- what others say ---------------------------------------------------------------------------
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -19,6 +19,12 @@
 import type { LeaderContext, Room } from './tenure.js';
 import { Tenure } from './tenure.js';
 
+/** What a report is answered with: orders, and so long its holder may answer the next ones without the leader (ms). */
+export interface Renewal {
+  readonly commands: WorkerCommand[];
+  readonly grantMs: number;
+}
+
 /**
  * One node's leadership from election to deposition: the cluster's state in the middle, and the rooms that
  * work on it. Nothing is decided here.
@@ -139,7 +145,7 @@
   }
 
   /** How old what is known of cancellations is, in milliseconds. */
-  get recordsAgeMs(): number {
+  private get recordsAgeMs(): number {
     return this.rooms.every((room) => room.isFresh) ? this.records.ageMs : Infinity;
   }
 
@@ -149,15 +155,24 @@
   }
 
   /**
-   * A report and the orders for its answer, or null where it may not be answered (`JobRecords.areFresh`). Another node
-   * may go on answering this machine for `grantMs`.
+   * A report and the orders for its answer, or null where it may not be answered: an answer renews the machine's lease, and
+   * all that may have been confirmed as cancelled must be gone in time (docs/design.md, "Renewals"). `sureMs` is how long
+   * ago this node surely led. One that was `forwarded` may be answered by its holder for `grantMs` more.
    */
-  report(r: WorkerReport, grantMs = 0): WorkerCommand[] | null {
-    if (!this.records.areFresh || !this.rooms.every((room) => room.isFresh)) return null;
+  report(r: WorkerReport, sureMs: number, forwarded: boolean): Renewal | null {
+    const { settings } = this.tenure.c;
+    const { recordsAgeMs } = this;
+    if (recordsAgeMs > answerHorizonMs(settings)) return null;
     this.take(r, true);
-    const commands = this.ready ? this.commands.ordersFor(r) : [];
+    const commands = this.ready ? this.commands.ordersFor(r) : this.commands.cancelledIn(r);
+    if (commands === null) return null;
+    const leftMs = answerHorizonMs(settings) - Math.max(sureMs, recordsAgeMs);
+    // A holder knows nothing of the stops in this answer, which its worker may never get: it asks again each time. Nor may
+    // it stand in for a leader that has not read what may be on its way there.
+    const mayGrant = forwarded && this.ready && !this.commands.isCancelledOn(r.machine, commands);
+    const grantMs = mayGrant ? Math.max(0, leftMs) : 0;
     this.reports.answered(r, grantMs);
-    return commands;
+    return { commands, grantMs };
   }
 
   private take(r: WorkerReport, isOwn: boolean, ageMs = 0): void {
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -13,6 +13,7 @@
   Token,
   WorkerReport,
 } from '@spurbridge/wire';
+import { cancelledIn } from './commands.js';
 import { JobService } from './jobs.js';
 import { Leader } from './leader.js';
 import { Fitness } from './fitness.js';
@@ -50,6 +51,10 @@
   | { readonly code: 421; readonly leader: NodeId }
   | { readonly code: 503 };
 
+/** As a leader answers: whoever holds the worker may answer it for `grantMs` more by itself. */
+export type LeaderAnswer =
+  (Extract<ReportAnswer, { code: 200 }> & { readonly grantMs: number }) | { readonly code: 503 };
+
 const TYPES_MS = 60_000;
 const STATE_LOST_MS = 2500;
 const PROGRESS_KEPT = 5000;
@@ -102,10 +107,8 @@
       leadership: this.leadership,
       peers: this.peers,
       leads: () => this.leads,
-      answer: (r, forwarded) => {
-        const grantMs = forwarded ? this.grantMs() : 0;
-        return { ...this.answer(r, grantMs), grantMs };
-      },
+      answer: (r, forwarded) => this.answer(r, forwarded),
+      cancelled: (r) => cancelledIn(r, (id) => store.phaseOf(id)),
       hear: (r, ageMs) => {
         this.saidBy(r);
         if (this.leads) this.leader?.hear(r, ageMs);
@@ -254,14 +257,8 @@
     this.holding.tokenSeen(r.token);
   }
 
-  /** So long others may still answer in this leader's stead: what is left of its own horizon, in milliseconds. */
-  private grantMs(): number {
-    const agesMs = Math.max(this.leadership.sinceConfirmed(), this.leader?.recordsAgeMs ?? Infinity);
-    return Math.max(0, answerHorizonMs(this.parts.settings) - agesMs);
-  }
-
   /** A report, by this node's own or another node's connection, answered as the leader. */
-  private answer(r: WorkerReport, grantMs: number): Exclude<ReportAnswer, { code: 421 }> {
+  private answer(r: WorkerReport, forwarded: boolean): LeaderAnswer {
     this.saidBy(r);
     const { leader } = this;
     if (leader === null || !this.leads) return { code: 503 };
@@ -272,9 +269,9 @@
       this.leadership.sinceConfirmed() > answerHorizonMs(this.parts.settings)
     )
       return { code: 503 };
-    const commands = leader.report(r, grantMs);
-    if (commands === null) return { code: 503 };
-    return { code: 200, token: this.leadership.token, commands };
+    const renewal = leader.report(r, this.leadership.sinceConfirmed(), forwarded);
+    if (renewal === null) return { code: 503 };
+    return { code: 200, token: this.leadership.token, ...renewal };
   }
 
   /** A worker's report to this node. */
--- a/packages/controller/src/records.ts
+++ b/packages/controller/src/records.ts
@@ -18,14 +18,9 @@
     this.following = new Following(tenure, JOB_PREFIX);
   }
 
-  /** Whether all cancellations that a report must not outlive are known. */
-  get areFresh(): boolean {
-    return this.following.isFresh;
-  }
-
-  /** How old what is known of them is, in milliseconds. */
+  /** How old what is known of cancellations is, in milliseconds: by the records, or by the node's copy until they are read. */
   get ageMs(): number {
-    return this.following.ageMs;
+    return this.following.asOf === null ? this.tenure.c.trust.copyAgeMs : this.following.ageMs;
   }
 
   /** The revision to watch from, or null when deposed meanwhile. */
@@ -58,7 +53,11 @@
       return null;
     }
     this.seen(record);
-    return this.cluster.learnJob(record, item.version);
+    const wasActive = this.cluster.jobs.get(record.spec.id)?.state !== 'cancelled';
+    const job = this.cluster.learnJob(record, item.version);
+    // Not known as of then, it was confirmed later: its user counts `cancel_s` from after that.
+    if (job?.state === 'cancelled' && wasActive) job.cancelledAfter = this.following.asOf;
+    return job;
   }
 
   async watch(from: Revision): Promise<void> {
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -17,8 +17,10 @@
   readonly hasLost: boolean;
   /** The leader knows what is on every machine, whatever the state service may have lost before. */
   settled(): void;
-  /** Phase of a job by its record, also of one that is long over; null: no such record. */
+  /** Phase of a job by this node's copy of its record, also of one that is long over; null: no such record. */
   phaseOf(id: JobId): string | null;
+  /** How old that copy is, in milliseconds: a cancellation confirmed earlier is in it. Infinity: there is none. */
+  readonly copyAgeMs: number;
 }
 
 /** What a leader works with, and is given by its node. */
@@ -75,7 +77,7 @@
   hasJoined(job: Job): boolean;
   /** Whether a job whose tasks are all done may be closed, and its task records deleted. */
   mayClose(job: Job): boolean;
-  /** Whether it knows all cancellations that a report must not outlive (`JobRecords.areFresh`). */
+  /** Whether it knows all cancellations that a report's answer must not outlive (docs/design.md, "Renewals"). */
   readonly isFresh: boolean;
 }
 
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -43,6 +43,8 @@
   errors = 0;
   notBefore = 0 as Ms;
   firstStartAt: Ms | null = null;
+  /** Its cancellation was confirmed to its user after this, if it is cancelled; null: it may have been at any time. */
+  cancelledAfter: Ms | null = null;
   /** Lowest task that may be pending: a cursor for jobs with very many tasks. */
   private cursor = 0;
   /** Since when tasks of this job have waited. */
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -131,6 +131,11 @@
     return seen === undefined ? null : phaseOf(seen.text);
   }
 
+  /** How old the copy is at most, in milliseconds: all that was durable before is in it. */
+  get copyAgeMs(): number {
+    return this.view?.ageMs ?? Infinity;
+  }
+
   /** The copy as a consistent memory up to its revision, for a snapshot; null while the store is not trusted. */
   remembered(): { readonly epoch: Epoch; readonly revision: Revision; readonly copy: Copy } | null {
     const { sound } = this;
--- a/packages/recovery/src/view.ts
+++ b/packages/recovery/src/view.ts
@@ -58,6 +58,8 @@
   private readonly auditor: Auditor;
   private readonly enteredAt: Ms;
   private audits = 0;
+  /** All that was durable before this is in the copy; null until it was followed once. */
+  private knownAt: Ms | null = null;
 
   constructor(
     private readonly p: ViewParts,
@@ -84,8 +86,14 @@
     return this.p.isCurrent(this);
   }
 
+  /** How old the copy is, counted from the sending of the request that last brought it up to date, in milliseconds. */
+  get ageMs(): number {
+    return this.knownAt === null ? Infinity : this.p.clock.now() - this.knownAt;
+  }
+
   /** Takes in what changed, for as long as it is trusted. */
   async follow(): Promise<void> {
+    const askedAt = this.p.clock.now();
     const seen = await this.asked(() => this.p.raw.watch('', this.copy.revision, WATCH_MS));
     if (!this.isCurrent) return;
     if (seen.outcome === 'compacted') return this.catchUp();
@@ -93,6 +101,7 @@
     if (seen.events.some((e) => 'put' in e && e.put === EPOCH_KEY && e.version > this.fence.version))
       await this.checkEpoch();
     this.take(seen.events, seen.revision);
+    this.knownAt = askedAt;
     if (seen.events.length > 0) await this.p.clock.sleep(WATCH_PAUSE_MS);
   }
 
--- a/packages/shares/test/model.ts
+++ b/packages/shares/test/model.ts
@@ -1,6 +1,6 @@
 /**
- * A small model of grants, explored whole: a leader, a holder, one worker with one task, the leader's successor, a
- * cancellation, and messages that may be late for ever. Time goes in ticks; between two ticks anything may happen.
+ * A small model of grants, explored whole: a leader, a holder, one worker with one task, the leaders after it, a
+ * cancellation, and messages that may be late for ever or get no further than to the holder. Time goes in ticks; between two ticks anything may happen.
  */
 
 export const GUARDS = [
@@ -14,6 +14,12 @@
   'the next leader waits',
   /** A holder whose grant is over answers nobody. */
   'a grant ends',
+  /** An answer that stops what is cancelled brings no grant: it may be lost behind its holder, which would renew without it. */
+  'no grant with a stop',
+  /** A leader past its lease stops what it knows to be cancelled, as one that is sure of it does. */
+  'stops past its lease',
+  /** A new leader answers by what it has read, and nobody before it has read anything. */
+  'reads before it answers',
 ] as const;
 export type Guard = (typeof GUARDS)[number];
 
@@ -37,6 +43,8 @@
   /** Until when the first leader holds the machine answered. */
   readonly counted: number;
   readonly next: number | null;
+  /** As of when the next leader has read what is cancelled. */
+  readonly nextRead: number | null;
   readonly cancelled: number | null;
   /** Somebody holds the task for gone, and has started it elsewhere. */
   readonly again: boolean;
@@ -52,6 +60,7 @@
   runs: true,
   counted: 0,
   next: null,
+  nextRead: null,
   cancelled: null,
   again: false,
 };
@@ -73,7 +82,8 @@
     const age = t - s.contact;
     if (age <= HORIZON) {
       const left = has('less the age of what is known') ? HORIZON - age : HORIZON;
-      const stop = s.cancelled !== null && s.contact >= s.cancelled;
+      const known = s.cancelled !== null && s.contact >= s.cancelled;
+      const stop = known && (age <= TTL || has('stops past its lease'));
       to.push({
         ...s,
         question: null,
@@ -85,18 +95,27 @@
   if (s.answer !== null) {
     const { askedAt, left, stop } = s.answer;
     const from = has('counted from the question') ? askedAt : t;
+    const grants = !stop || !has('no grant with a stop');
+    const grantUntil = grants ? Math.max(s.grantUntil, from + left) : s.grantUntil;
     to.push({
       ...s,
       answer: null,
-      grantUntil: Math.max(s.grantUntil, from + left),
+      grantUntil,
       leaseUntil: Math.max(s.leaseUntil, s.runs ? askedAt + LEASE : 0),
       runs: s.runs && !stop,
     });
-    // Or it never comes.
-    to.push({ ...s, answer: null });
+    // Or it comes no further than to the holder, or never.
+    to.push({ ...s, answer: null, grantUntil }, { ...s, answer: null });
   }
   if (cancels && s.cancelled === null) to.push({ ...s, cancelled: t });
   if (s.next === null && t - s.contact >= TTL) to.push({ ...s, next: t });
+  if (cancels && s.next !== null) {
+    if (t - s.next >= TTL) to.push({ ...s, next: t, nextRead: null });
+    to.push({ ...s, nextRead: t });
+    const mayAnswer = s.nextRead === null ? !has('reads before it answers') : t - s.nextRead <= HORIZON;
+    const stop = s.cancelled !== null && s.nextRead !== null && s.nextRead >= s.cancelled;
+    if (s.runs && mayAnswer) to.push({ ...s, leaseUntil: Math.max(s.leaseUntil, t + LEASE), runs: !stop });
+  }
   if (!cancels) {
     const wait = (has('the next leader waits') ? HORIZON : 0) + LEASE;
     if (s.next !== null && t > s.next + wait) to.push({ ...s, again: true });
@@ -139,7 +158,10 @@
       const rule = broken(n);
       // What follows a broken rule says nothing more, nor what follows the task's end.
       if (rule !== null) rules.add(rule);
-      else if (n.runs && !n.again) open.push(n);
+      // With a guard taken out the first break is all that is asked for.
+      if (rule !== null && without !== null) return { rules, states: seen.size };
+      if (rule !== null) continue;
+      if (n.runs && !n.again) open.push(n);
     }
   }
   return { rules, states: seen.size };
--- /dev/null
+++ b/packages/testkit/src/faults.ts
@@ -0,0 +1,54 @@
+import type { MachineId } from '@spurbridge/wire';
+
+/** A transaction without an answer is carried out this much later, in milliseconds. */
+const LATE_WRITE_MS = { least: 2000, most: 12_000 };
+/** A copy of a report arrives this late at the least, and at the most so many leases later. */
+const LATE_REPORT_MS = 2000;
+const LATE_REPORT_LEASES = 1.5;
+/** A direct command, or its answer, is held up for so long at the most. */
+const HELD_COMMAND_MS = 9000;
+
+/** What goes wrong for a share of messages, or for some machines, for as long as it is set. */
+export class Faults {
+  /** Share of transactions that get no answer and are carried out late, after newer ones of the same node. */
+  lateWrites = 0;
+  /** Share of workers' reports of which a copy arrives again, late. */
+  lateReports = 0;
+  /** Share of direct commands that are held up, on their way there or back. */
+  heldCommands = 0;
+  /** Machines whose reports arrive while answers and direct commands to them are lost. */
+  readonly deaf = new Set<MachineId>();
+  /** How many of each kind came about. */
+  readonly counts = { lateWrites: 0, lateReports: 0, heldCommands: 0 };
+
+  constructor(
+    private readonly random: (below: number) => number,
+    private readonly leaseMs: number,
+  ) {}
+
+  private happens(kind: keyof Faults['counts']): boolean {
+    // Nothing is drawn where nothing is set: days without these faults go as they always did.
+    if (this[kind] <= 0 || this.random(1000) >= this[kind] * 1000) return false;
+    this.counts[kind] += 1;
+    return true;
+  }
+
+  /** How much later this transaction is carried out, without an answer; null: at once. */
+  lateWriteMs(): number | null {
+    const { least, most } = LATE_WRITE_MS;
+    return this.happens('lateWrites') ? least + this.random(most - least) : null;
+  }
+
+  /** How much later a copy of this report arrives; null: there is none. */
+  lateReportMs(): number | null {
+    const most = this.leaseMs * LATE_REPORT_LEASES;
+    return this.happens('lateReports') ? LATE_REPORT_MS + this.random(most - LATE_REPORT_MS) : null;
+  }
+
+  /** For how long a direct command is held up on its way, and its answer on the way back. */
+  heldCommandMs(): { readonly there: number; readonly back: number } {
+    if (!this.happens('heldCommands')) return { there: 0, back: 0 };
+    const ms = this.random(HELD_COMMAND_MS);
+    return this.random(2) === 0 ? { there: ms, back: 0 } : { there: 0, back: ms };
+  }
+}
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -38,6 +38,8 @@
 
 export const STATE_HOST = 'state';
 const ANSWER_MS = 1500;
+/** A watch is given up so long after it should have been answered. */
+const WATCH_PATIENCE_MS = 3000;
 
 /** Stand-in of the state service: strongly consistent, with leases, watches and outages. */
 export class SimState {
@@ -57,6 +59,8 @@
     readonly time: SimTime,
     readonly network: SimNetwork,
     private readonly limits: StateLimits,
+    /** How much later a transaction is carried out, without an answer; null: at once. */
+    readonly lateMs: () => number | null = () => null,
   ) {
     this.requestTokens = limits.rps;
     this.writeTokens = limits.writeRps;
@@ -343,7 +347,7 @@
   }
 
   private async call<T extends { readonly outcome: string }>(
-    handle: () => T,
+    handle: () => T | null,
     changes = 0,
   ): Promise<T | { readonly outcome: 'refused' | 'unknown' }> {
     const answer = await this.state.network.call<T | { readonly outcome: 'refused' }>(
@@ -368,7 +372,14 @@
   }
 
   commit(conditions: readonly Condition[], changes: readonly Change[]): Promise<CommitOutcome> {
-    return this.call(() => this.state.commit(conditions, changes), changes.length);
+    const lateMs = changes.length > 0 ? this.state.lateMs() : null;
+    if (lateMs === null) return this.call(() => this.state.commit(conditions, changes), changes.length);
+    const { state } = this;
+    if (!state.down && !this.refused)
+      state.time.after(lateMs, () => {
+        if (!state.down) state.commit(conditions, changes);
+      });
+    return this.call<CommitOutcome>(() => null, changes.length);
   }
 
   grantLease(ttlMs: number): Promise<GrantOutcome> {
@@ -401,6 +412,12 @@
       await new Promise<void>((resolve) => {
         this.state.wait(prefix, after, waitMs, resolve);
       });
+    // An open watch waits through an outage, and through a refusal of its node alone.
+    const givenUp = this.clock.now() + WATCH_PATIENCE_MS;
+    while ((this.state.down || this.refused) && this.clock.alive) {
+      if (this.clock.now() > givenUp) return { outcome: 'unknown' };
+      await this.clock.sleep(100);
+    }
     return this.call(events);
   }
 }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -26,6 +26,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { RuleChecker } from './checker.js';
 import { ProcessClock, SimTime } from './clock.js';
+import { Faults } from './faults.js';
 import { SimNetwork } from './network.js';
 import type { StateLimits } from './state.js';
 import { SimState, SimStore, STATE_HOST } from './state.js';
@@ -87,6 +88,7 @@
   readonly time = new SimTime();
   readonly network: SimNetwork;
   readonly state: SimState;
+  readonly faults: Faults;
   readonly checker: RuleChecker;
   readonly workers = new Map<MachineId, SimWorker>();
   readonly nodes: SimNode[] = [];
@@ -105,7 +107,10 @@
   constructor(private readonly o: WorldOptions) {
     this.generator = xoroshiro128plus(o.seed);
     this.network = new SimNetwork(this.time, (below) => this.random(below));
-    this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE);
+    this.faults = new Faults((below) => this.random(below), o.leaseS * 1000);
+    this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE, () =>
+      this.faults.lateWriteMs(),
+    );
     this.checker = new RuleChecker(() => this.time.now, o.teams, o.cancelS * 1000);
     for (let i = 0; i < this.nodeCount; i += 1) {
       const name = `spur-${i}` as NodeId;
@@ -465,11 +470,17 @@
       this.time.after(4000, () => {
         resolve(null);
       });
+      const lateMs = this.faults.lateReportMs();
+      // The answer to a copy finds nobody who waits for it.
+      if (lateMs !== null)
+        this.time.after(lateMs, () => {
+          this.network.send(worker.id, node, () => void this.alive(node)?.controller.report(report));
+        });
       this.network.send(worker.id, node, () => {
         const target = this.alive(node);
         if (target === null) return;
         void Promise.resolve(target.controller.report(report)).then((answer) => {
-          if (!target.clock.alive) return;
+          if (!target.clock.alive || this.faults.deaf.has(worker.id)) return;
           this.network.send(node, worker.id, () => {
             resolve(answer);
           });
@@ -491,10 +502,16 @@
         this.time.after(2000, () => {
           resolve({ outcome: 'unknown' });
         });
-        this.network.send(host, address, () => {
-          worker.commands(token, session, commands, (executed, report) => {
-            this.network.send(address, host, () => {
-              resolve({ outcome: executed ? 'executed' : 'rejected', report });
+        const held = this.faults.heldCommandMs();
+        this.afterwards(held.there, () => {
+          this.network.send(host, address, () => {
+            if (this.faults.deaf.has(worker.id)) return;
+            worker.commands(token, session, commands, (executed, report) => {
+              this.afterwards(held.back, () => {
+                this.network.send(address, host, () => {
+                  resolve({ outcome: executed ? 'executed' : 'rejected', report });
+                });
+              });
             });
           });
         });
@@ -505,12 +522,18 @@
       show: async (address) =>
         this.network.call(host, address, 1500, () => {
           const worker = this.workers.get(address as MachineId);
-          return worker?.alive === true ? worker.makeReport() : null;
+          if (worker === undefined || this.faults.deaf.has(worker.id)) return null;
+          return worker.alive ? worker.makeReport() : null;
         }),
       forgetAddress: () => undefined,
     };
   }
 
+  private afterwards(ms: number, run: () => void): void {
+    if (ms > 0) this.time.after(ms, run);
+    else run();
+  }
+
   // --- users -----------------------------------------------------------------------------------
 
   private readonly cancelAt = new Map<JobId, number>();
