--- a/packages/controller/src/served.ts
+++ b/packages/controller/src/served.ts
@@ -1,16 +1,33 @@
 import type { Asked, Job } from '@spurbridge/model';
-import { REPLICAS_FROM_S, countJob, nothingAsked, runnable, served } from '@spurbridge/model';
+import {
+  REPLICAS_FROM_S,
+  countJob,
+  countLargest,
+  largestFrom,
+  nothingAsked,
+  runnable,
+  served,
+  sizeOf,
+} from '@spurbridge/model';
 import { later } from '@spurbridge/net';
 import type { Cluster } from './cluster.js';
 import type { Tenure } from './tenure.js';
 
 const SAMPLE_MS = 5000;
 const SAY_MS = 60_000;
+/** Sizes of so many of a class's last jobs tell which are its largest. */
+const SIZES_KEPT = 400;
+
+interface ClassSizes {
+  readonly sizes: number[];
+  largestFrom: number;
+}
 
 /** Says once a minute how much of every class and team is served: nobody is to be left under half unseen. */
 export class Served {
   /** What is over: jobs that ended or were cancelled under this leader, and replica time. */
   private readonly past = new Map<string, Asked>();
+  private readonly classes = new Map<string, ClassSizes>();
   /** A cancelled job ends twice: for its user, and once nothing of it runs any more. */
   private readonly counted = new WeakSet<Job>();
 
@@ -21,10 +38,24 @@
     cluster.on('ended', (job) => {
       if (job.state === 'active' || this.counted.has(job)) return;
       this.counted.add(job);
-      for (const name of namesOf(job)) this.count(this.of(name), job, job.state === 'closing');
+      this.count(job, job.state === 'closing', (name) => this.of(name));
+    });
+    cluster.on('learned', ({ spec }) => {
+      const c = this.classOf(spec.class);
+      c.sizes.push(sizeOf(spec));
+      if (c.sizes.length > SIZES_KEPT) c.sizes.shift();
     });
   }
 
+  private classOf(name: string): ClassSizes {
+    let c = this.classes.get(name);
+    if (c === undefined) {
+      c = { sizes: [], largestFrom: Infinity };
+      this.classes.set(name, c);
+    }
+    return c;
+  }
+
   private of(name: string): Asked {
     let asked = this.past.get(name);
     if (asked === undefined) {
@@ -34,14 +65,20 @@
     return asked;
   }
 
-  private count(asked: Asked, job: Job, isEnded: boolean): void {
-    countJob(asked, {
-      spec: job.spec,
-      ageS: (this.tenure.c.clock.now() - job.submittedAt) / 1000,
-      isStarted: isEnded || job.firstStartAt !== null || job.placements.size > 0 || job.doneCount > 0,
+  private count(job: Job, isEnded: boolean, of: (name: string) => Asked): void {
+    const { spec, submittedAt, firstStartAt } = job;
+    const hasBegun = isEnded || job.placements.size > 0 || job.doneCount > 0;
+    const counted = {
+      spec,
+      ageS: (this.tenure.c.clock.now() - submittedAt) / 1000,
+      // What began under an earlier leader began some time ago.
+      startedS: firstStartAt !== null ? (firstStartAt - submittedAt) / 1000 : hasBegun ? 0 : null,
       isEnded,
       isCancelled: job.state === 'cancelled',
-    });
+    };
+    for (const name of namesOf(job)) countJob(of(name), counted);
+    if (sizeOf(spec) >= this.classOf(spec.class).largestFrom)
+      countLargest(of(`class ${spec.class}, largest`), counted);
   }
 
   async run(): Promise<void> {
@@ -65,17 +102,18 @@
     const all = new Map([...this.past].map(([name, asked]) => [name, { ...asked }]));
     for (const job of this.cluster.jobs.values()) {
       if (job.state !== 'active') continue;
-      for (const name of namesOf(job)) {
+      this.count(job, false, (name) => {
         const asked = all.get(name) ?? nothingAsked();
         all.set(name, asked);
-        this.count(asked, job, false);
-      }
+        return asked;
+      });
     }
     return all;
   }
 
   private sample(): void {
     const now = this.tenure.c.clock.now();
+    for (const c of this.classes.values()) c.largestFrom = largestFrom(c.sizes);
     for (const job of this.cluster.jobs.values()) {
       const { spec } = job;
       if (job.state !== 'active' || spec.kind !== 'service') continue;
--- a/packages/measure/src/own/variant.ts
+++ b/packages/measure/src/own/variant.ts
@@ -116,7 +116,9 @@
       if (!String(rest['kind']).startsWith('machine_')) return { ...rest, share };
       return { ...rest, count: BigInt(Math.max(1, Math.round(Number(share) * machines))) };
     });
-    return { slot: 'scale', light: false, ...day, faults };
+    const changed = tables(day, 'jobs').map((j): TomlTable => ({ ...j, name: named(j['name'] ?? '') }));
+    const own = { slot: 'scale', light: false, ...day, faults };
+    return changed.length === 0 ? own : { ...own, jobs: changed };
   });
 }
 
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -1,5 +1,14 @@
 import type { Asked, Team } from '@spurbridge/model';
-import { REPLICAS_FROM_S, countJob, nothingAsked, runnable, unserved } from '@spurbridge/model';
+import {
+  REPLICAS_FROM_S,
+  countJob,
+  countLargest,
+  largestFrom,
+  nothingAsked,
+  runnable,
+  sizeOf,
+  unserved,
+} from '@spurbridge/model';
 import type { Attempt, JobId, JobPhase, JobSpec, MachineId } from '@spurbridge/wire';
 
 export interface Broken {
@@ -38,6 +47,8 @@
 }
 
 const FORGOTTEN_MS = 90_000;
+/** The same once all troubles are over, however others fare. */
+const FORGOTTEN_CALM_MS = 75_000;
 
 function whoOf(spec: JobSpec): string[] {
   return [`class ${spec.class}`, `team ${spec.team}`];
@@ -68,6 +79,10 @@
   killedByLease = 0;
   /** Starts of tasks that were done already: they end at once, but their place is taken. */
   startsOfDone = 0;
+  /** From then on all troubles are over. */
+  calmFromMs = Infinity;
+  /** Longest time for which a question about an accepted job went unanswered since then. */
+  longestUnansweredMs = 0;
   /** Told of every run that ends. */
   onRun: ((run: Run) => void) | null = null;
 
@@ -202,25 +217,40 @@
   /** What every class and team asked for and got until now, by the definition of `served`. */
   asked(): Map<string, Asked> {
     const all = new Map<string, Asked>();
+    const largest = this.largest();
     for (const [id, life] of this.lives) {
       const spec = this.submitted.get(id);
       if (spec === undefined) continue;
       const untilMs = life.endedMs ?? life.cancelMs ?? this.now();
+      const counted = {
+        spec,
+        ageS: (untilMs - life.submittedMs) / 1000,
+        startedS: life.startedMs === null ? null : (life.startedMs - life.submittedMs) / 1000,
+        isEnded: life.endedMs !== null,
+        isCancelled: life.cancelMs !== null,
+      };
       for (const who of whoOf(spec)) {
         const asked = all.get(who) ?? { ...nothingAsked(), ...this.replicas.get(who) };
         all.set(who, asked);
-        countJob(asked, {
-          spec,
-          ageS: (untilMs - life.submittedMs) / 1000,
-          isStarted: life.startedMs !== null,
-          isEnded: life.endedMs !== null,
-          isCancelled: life.cancelMs !== null,
-        });
+        countJob(asked, counted);
       }
+      if (sizeOf(spec) < (largest.get(spec.class) ?? Infinity)) continue;
+      const who = `class ${spec.class}, largest`;
+      const asked = all.get(who) ?? nothingAsked();
+      all.set(who, asked);
+      countLargest(asked, counted);
     }
     return all;
   }
 
+  /** From which size on a job is among the largest of its class. */
+  private largest(): Map<string, number> {
+    const sizes = new Map<string, number[]>();
+    for (const spec of this.submitted.values())
+      sizes.set(spec.class, [...(sizes.get(spec.class) ?? []), sizeOf(spec)]);
+    return new Map([...sizes].map(([name, of]) => [name, largestFrom(of)]));
+  }
+
   /** Classes and teams of which less than half was served, as a broken rule is named. */
   unserved(): string[] {
     return [...this.asked()].flatMap(([who, asked]) =>
@@ -248,7 +278,9 @@
   private countAnswer(id: JobId, call: string, isGiven: boolean): void {
     const { given, refused } = this.answers;
     this.answers = isGiven ? { given: given + 1, refused } : { given, refused: refused + 1 };
+    const since = this.failing.get(id)?.sinceMs ?? this.now();
     if (isGiven) this.failing.delete(id);
+    this.countSilence(id, this.now() - Math.max(since, this.calmFromMs));
     if (isGiven || call !== 'poll') return;
     const f = this.failing.get(id) ?? { sinceMs: this.now(), before: this.answers };
     this.failing.set(id, f);
@@ -257,6 +289,13 @@
       this.breaks('forgotten', `${id} got no answer for ${this.now() - f.sinceMs} ms`);
   }
 
+  private countSilence(id: JobId, forMs: number): void {
+    if (!(forMs > this.longestUnansweredMs)) return;
+    this.longestUnansweredMs = forMs;
+    if (forMs > FORGOTTEN_CALM_MS)
+      this.breaks('forgotten', `${id} got no answer for ${forMs} ms after all troubles`);
+  }
+
   /** A user was answered. */
   told(id: JobId, call: 'submit' | 'poll' | 'cancel', code: number, phase: JobPhase | null): void {
     if (this.accepted.has(id)) this.countAnswer(id, call, code < 500);
--- a/packages/testkit/test/checker.test.ts
+++ b/packages/testkit/test/checker.test.ts
@@ -142,3 +142,33 @@
   assert.deepEqual(new Set(polls(true)), new Set(['forgotten']));
   assert.deepEqual(polls(false), []);
 });
+
+test('once all troubles are over a job without an answer for 75 s is forgotten, however others fare', () => {
+  const polls = (calmFromMs: number) =>
+    judged((c, later) => {
+      c.calmFromMs = calmFromMs;
+      c.submit(jobSpec({ id }));
+      c.told(id, 'submit', 201, 'queued');
+      for (let n = 0; n < 17; n += 1) {
+        later(5000);
+        c.told(id, 'poll', 503, null);
+      }
+    });
+  assert.deepEqual(new Set(polls(0)), new Set(['forgotten']));
+  // What it missed before they were over does not count.
+  assert.deepEqual(polls(20_000), []);
+});
+
+test('a class of which the largest jobs do not begin fails, though more than half of it is served', () => {
+  let now = 0;
+  const c = new RuleChecker(() => now, [{ name: 'red', cpus: 99, cpusMax: 99, gpus: 0, gpusMax: 0 }], 1000);
+  for (let i = 0; i < 8; i += 1) {
+    const spec = jobSpec({ id: `wk-00010${i}` as JobId, tasks: i < 6 ? 1 : 10, cpus: 1 });
+    c.submit(spec);
+    if (i >= 6) continue;
+    c.started(spec, 0, one, on(`n-${i}`));
+    c.left(spec.id, 0, `n-${i}` as MachineId, true);
+  }
+  now = 250_000;
+  assert.deepEqual(c.unserved(), ['class work, largest: ended 0.00', 'class work, largest: started 0.00']);
+});
--- a/packages/testkit/test/days.test.ts
+++ b/packages/testkit/test/days.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { World } from '../src/index.js';
-import { DAY_MS, drawUsers, openArrays, smallWorld, trouble, watchLeaders } from '../src/index.js';
+import { CALM_MS, DAY_MS, drawUsers, openArrays, smallWorld, trouble, watchLeaders } from '../src/index.js';
 
 /** Seeds are fixed; `SPURBRIDGE_SEEDS=1000-1050 npm run unit` tries others by hand. */
 function seeds(): number[] {
@@ -17,6 +17,7 @@
   watchLeaders(w, (at) => {
     assert.fail(`two leaders at ${at}`);
   });
+  w.checker.calmFromMs = CALM_MS;
   await w.run(DAY_MS);
   return w;
 }
--- a/packages/testkit/test/meetings.test.ts
+++ b/packages/testkit/test/meetings.test.ts
@@ -1,6 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DAY_MS, drawMeeting, drawUsers, openArrays, smallWorld, watchLeaders } from '../src/index.js';
+import {
+  CALM_MS,
+  DAY_MS,
+  drawMeeting,
+  drawUsers,
+  openArrays,
+  smallWorld,
+  watchLeaders,
+} from '../src/index.js';
+
+/** Once troubles are over every question about an accepted job is answered within this. */
+const ANSWERED_MS = 20_000;
 
 /** `SPURBRIDGE_MEETING_SEEDS=1-500 npm run unit` plays more by hand. */
 function seeds(standard: number): number[] {
@@ -17,8 +28,10 @@
     watchLeaders(w, (at) => {
       assert.fail(`${met}: two leaders at ${at}`);
     });
+    w.checker.calmFromMs = CALM_MS;
     await w.run(DAY_MS);
     assert.deepEqual(w.checker.broken, [], met);
     assert.ok(w.checker.starts > 0, `${met}: nothing was started`);
     assert.deepEqual(openArrays(w), [], met);
+    assert.ok(w.checker.longestUnansweredMs < ANSWERED_MS, `${met}: ${w.checker.longestUnansweredMs} ms`);
   });
