What began before this leader is not counted as begun late

A task of before, first heard running by a new leader, counted as begun only then. The time of its start is not known: it counts as begun, as in the readings of whole classes.

--- a/packages/controller/src/served.ts
+++ b/packages/controller/src/served.ts
@@ -28,6 +28,8 @@
   /** What is over: jobs that ended or were cancelled under this leader, and replica time. */
   private readonly past = new Map<string, Asked>();
   private readonly classes = new Map<string, ClassSizes>();
+  /** Heard running for the first time by this leader, these counted as begun only then, minutes late. */
+  private readonly begunBefore = new WeakSet<Job>();
   /** A cancelled job ends twice: for its user, and once nothing of it runs any more. */
   private readonly counted = new WeakSet<Job>();
 
@@ -66,13 +68,12 @@
   }
 
   private count(job: Job, isEnded: boolean, of: (name: string) => Asked): void {
-    const { spec, submittedAt, firstStartAt } = job;
+    const { spec, submittedAt } = job;
     const hasBegun = isEnded || job.placements.size > 0 || job.doneCount > 0;
     const counted = {
       spec,
       ageS: (this.tenure.c.clock.now() - submittedAt) / 1000,
-      // What began under an earlier leader began some time ago.
-      startedS: firstStartAt !== null ? (firstStartAt - submittedAt) / 1000 : hasBegun ? 0 : null,
+      startedS: this.startedS(job, hasBegun),
       isEnded,
       isCancelled: job.state === 'cancelled',
     };
@@ -81,8 +82,21 @@
       countLargest(of(`class ${spec.class}, largest`), counted);
   }
 
+  /** A job's age at its first start, in seconds; of one that began before this leader, when it did is not known. */
+  private startedS(job: Job, hasBegun: boolean): number | null {
+    if (job.firstStartAt === null || this.begunBefore.has(job)) return hasBegun ? 0 : null;
+    return (job.firstStartAt - job.submittedAt) / 1000;
+  }
+
+  /** The records are read: what runs, or is done in part, began under an earlier leader. */
+  restored(): void {
+    for (const job of this.cluster.jobs.values())
+      if (job.placements.size > 0 || job.doneCount > 0) this.begunBefore.add(job);
+  }
+
   async run(): Promise<void> {
     const { clock, log } = this.tenure.c;
+    this.restored();
     let sayAt = later(clock.now(), SAY_MS);
     while (this.tenure.active) {
       await clock.sleep(SAMPLE_MS);
