A job that began before this leader stays begun when its tasks are lost

Found rereading: with its placements gone such a job was read as not begun, though it had been. The log's reading alone; types, lint and the test of served pass, the whole suite was not run again.

--- a/packages/controller/src/served.ts
+++ b/packages/controller/src/served.ts
@@ -84,7 +84,8 @@
 
   /** A job's age at its first start, in seconds; of one that began before this leader, when it did is not known. */
   private startedS(job: Job, hasBegun: boolean): number | null {
-    if (job.firstStartAt === null || this.begunBefore.has(job)) return hasBegun ? 0 : null;
+    if (this.begunBefore.has(job)) return 0;
+    if (job.firstStartAt === null) return hasBegun ? 0 : null;
     return (job.firstStartAt - job.submittedAt) / 1000;
   }
 
