A cancelled task that does not end has its machine given back; old reports place nothing

Cause, first: what was cancelled on a machine that hangs rested on its lease, which a hanging machine does not carry out, and on its silence, which excuses (a zone that is away, many silent at once, an answered question, a takeover) put off. Now, as cancel_s draws to its end, the machine is given back ahead of all other releases, by whoever leads: the record of the job says when its cancellation was asked for, so that a change of leader starts nothing anew. Cause, second: a new leader took a machine's first report for of now. One of a machine given back long ago made it a place for tasks until its silence showed, some nine seconds. It is placed on only once records, the list, a rental, its own report with our token or an answered call vouch for it. Excluded: the direct start that nobody answered (its machine's lease is left to end, as before).

--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -1,5 +1,5 @@
 import { EventEmitter } from 'node:events';
-import type { JobRecord, Placement, StopReason } from '@spurbridge/model';
+import type { JobRecord, Placement, StopReason, WallMs } from '@spurbridge/model';
 import { Job, Machine, restoreChunk } from '@spurbridge/model';
 import type { Clock, Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
@@ -49,8 +49,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly types: () => readonly MachineType[];
-  /** Time of day less a record's time of submission, in milliseconds, never negative. */
-  readonly ageMs: (record: JobRecord) => number;
+  /** Time of day less another that a record holds, in milliseconds, never negative. */
+  readonly ageMs: (at: WallMs) => number;
   /** Until when an earlier leader may still answer the reports of a machine. */
   readonly answeredUntil: Ms;
 }
@@ -88,7 +88,7 @@
     if (job === undefined) {
       // What is over needs no memory here: its users are answered from the record.
       if (record.phase === 'done') return null;
-      const submittedAt = later(this.now(), -this.parts.ageMs(record));
+      const submittedAt = later(this.now(), -this.parts.ageMs(record.at));
       job = new Job(spec, record.chunkSize, version, submittedAt, record.graph ?? null);
       if (record.phase === 'active')
         this.parts.log.debug(
@@ -107,7 +107,11 @@
     }
     if (version >= job.version) {
       job.version = version;
-      if (record.phase === 'cancelled' && job.state !== 'cancelled') this.cancel(job);
+      if (record.phase === 'cancelled' && job.state !== 'cancelled') {
+        if (record.cancelledAt !== undefined)
+          job.cancelledAt = later(this.now(), -this.parts.ageMs(record.cancelledAt));
+        this.cancel(job);
+      }
     }
     this.emit('changed', job);
     return job;
@@ -186,8 +190,10 @@
     }
     on.set(formatTaskName(job.spec.id, p.task), { job, task: p.task });
     const machine = this.machines.get(p.machine);
-    if (machine !== undefined) machine.idleSince = null;
-    else this.addMachine(p.machine, '', '', false);
+    if (machine !== undefined) {
+      machine.idleSince = null;
+      machine.isProven = true;
+    } else this.addMachine(p.machine, '', '', false);
   }
 
   /** Places a task: an intent, of which nothing is sent before it is durable. */
@@ -308,11 +314,27 @@
     return machine;
   }
 
-  /** Records loaded before a machine was known carry its id only: its facts are filled in here. */
-  describeMachine(id: MachineId, type: string, zone: string, spot: boolean): Machine {
+  /**
+   * Records loaded before a machine was known carry its id only: its facts are filled in here. `isProven`: whether they
+   * come from what can't be older than the machine's end, and not from a report that may have been on its way for long.
+   */
+  describeMachine(id: MachineId, type: string, zone: string, spot: boolean, isProven = true): Machine {
     const known = this.machines.get(id);
-    if (known !== undefined && known.type !== '') return known;
-    return this.addMachine(id, type, zone, spot, this.isRented(id));
+    if (known !== undefined && known.type !== '') {
+      if (isProven) this.prove(known);
+      return known;
+    }
+    const added = this.addMachine(id, type, zone, spot, this.isRented(id));
+    // A record places something there.
+    added.isProven = isProven || known !== undefined;
+    return added;
+  }
+
+  /** The machine is there now: it may be placed on. */
+  prove(m: Machine): void {
+    if (m.isProven) return;
+    m.isProven = true;
+    this.emit('plan');
   }
 
   drain(m: Machine, reason: string): void {
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -235,11 +235,17 @@
     this.refusedUntil.set(`${r.type}/${r.zone}/${r.spot}`, until);
   }
 
-  giveBack(m: Machine, reason: string): void {
-    if (m.state === 'releasing' || m.state === 'gone') return;
+  /** `atOnce`: ahead of all others that are to be released. */
+  giveBack(m: Machine, reason: string, atOnce = false): void {
+    if (m.state === 'releasing') {
+      if (atOnce) this.releaseDue = [m.id, ...this.releaseDue.filter((id) => id !== m.id)];
+      return;
+    }
+    if (m.state === 'gone') return;
     this.tenure.c.log.info({ machine: m.id, type: m.type, spot: m.spot, reason }, 'machine released');
     m.enter('releasing');
-    this.releaseDue.push(m.id);
+    if (atOnce) this.releaseDue.unshift(m.id);
+    else this.releaseDue.push(m.id);
   }
 
   private async releaseLoop(): Promise<void> {
--- a/packages/controller/src/jobs.ts
+++ b/packages/controller/src/jobs.ts
@@ -92,9 +92,10 @@
       if (record === null) return unsure('the record cannot be read');
       if (record.graph !== undefined) return { code: 404, error: 'no such job' };
       if (record.phase !== 'active') return { code: 200, status: { id, phase: record.phase } };
+      const cancelledAt = this.wallNow();
       const outcome = await this.store.commit(
         [{ key: jobKey(id), version: found.item.version satisfies Version }],
-        [{ put: jobKey(id), value: encodeJob({ ...record, phase: 'cancelled' }) }],
+        [{ put: jobKey(id), value: encodeJob({ ...record, phase: 'cancelled', cancelledAt }) }],
         1,
       );
       if (outcome.outcome === 'committed') return { code: 200, status: { id, phase: 'cancelled' } };
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -51,7 +51,7 @@
       clock: c.clock,
       log: c.log,
       types: c.types,
-      ageMs: (record) => Math.max(0, c.wallNow() - record.at),
+      ageMs: (at) => Math.max(0, c.wallNow() - at),
       answeredUntil: later(tenure.electedAt, answerHorizonMs(c.settings)),
     });
     this.tenure = tenure;
--- a/packages/controller/src/reports.ts
+++ b/packages/controller/src/reports.ts
@@ -31,7 +31,8 @@
    */
   take(r: WorkerReport, isOwn: boolean, ageMs = 0): void {
     const { clock, log } = this.tenure.c;
-    const m = this.cluster.describeMachine(r.machine, r.type, r.zone, r.spot);
+    const isOfNow = !isOwn || r.token === this.tenure.c.leadership.token;
+    const m = this.cluster.describeMachine(r.machine, r.type, r.zone, r.spot, isOfNow);
     const now = clock.now();
     if (m.state === 'gone' || m.state === 'releasing') return;
     if (m.session !== null && (r.session < m.session || (r.session === m.session && r.seq <= m.seq))) return;
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -1,7 +1,8 @@
-import type { Machine } from '@spurbridge/model';
+import type { Job, Machine, Placement } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { later } from '@spurbridge/net';
 import type { Cluster } from './cluster.js';
+import { startName } from './commands.js';
 import type { Fleet } from './fleet.js';
 import type { Queues } from './queues.js';
 import { SAVE_MARGIN_S } from './reports.js';
@@ -30,6 +31,8 @@
 const DEAF_REPORTS = 12;
 /** Workers may all have gone to other nodes: machines must not answer calls either. */
 const DEAF_CALLS = 3;
+/** This share of the time between a lease and `cancel_s` is left for the cloud's call that proves a machine gone. */
+const LAST_RESORT_SHARE = 0.3;
 /** So many of the machines may be the last ones that decisions wait for. */
 const LAST_SHARE = 0.05;
 
@@ -66,6 +69,7 @@
         this.cluster.wasUp(m),
       );
       this.queues.sweepAll();
+      this.endCancelled(now);
       for (const m of [...this.cluster.machines.values()]) this.sweep(m, now);
       this.sweepFleet(now);
     }
@@ -83,7 +87,8 @@
     const silence = now - Math.max(m.heardAt ?? electedAt, electedAt);
     const heardBefore = m.state === 'ready' || m.state === 'draining';
     const wasUp = m.state === 'booting' && this.cluster.wasUp(m);
-    if (!(heardBefore || wasUp) || silence <= longestReportMs(settings) + 1000) return this.expire(m, now);
+    const isQuiet = (heardBefore || wasUp) && silence > longestReportMs(settings) + 1000;
+    if (!isQuiet && m.isProven) return this.expire(m, now);
     if (m.probes < PROBES && this.probing < Math.max(8, settings.maxSockets * PROBE_SHARE)) {
       m.probes += 1;
       this.probe(m);
@@ -96,6 +101,32 @@
     this.expire(m, now);
   }
 
+  /**
+   * The last resort for what is cancelled and still not proven gone as `cancel_s` draws to its end: its machine is given back,
+   * whatever excuses its silence. Its lease is no proof: a machine that hangs doesn't carry out its end, and may go on
+   * (docs/incidents/hung-past-its-lease.md). By then a machine that heard nothing, but lives, has ended its lease by itself.
+   */
+  private endCancelled(now: Ms): void {
+    const { settings } = this.tenure.c;
+    const { cancelS, leaseS } = settings.workers;
+    const patienceMs = (cancelS - (cancelS - leaseS) * LAST_RESORT_SHARE) * 1000;
+    for (const job of this.cluster.jobs.values()) {
+      if (job.state !== 'cancelled') continue;
+      for (const p of job.placements.values()) {
+        if (now < later(job.cancelledAt ?? p.stop?.at ?? now, patienceMs)) continue;
+        const m = this.cluster.machines.get(p.machine);
+        if (m === undefined || m.state === 'gone' || this.isLeftToItsLease(m, job, p, now)) continue;
+        this.fleet.giveBack(m, 'a cancelled task does not end', true);
+      }
+    }
+  }
+
+  /** Heard all the while, never shown the task, and not renewed any more: its session ends in time (`Commands.mayStartLate`). */
+  private isLeftToItsLease(m: Machine, job: Job, p: Placement, now: Ms): boolean {
+    const isHeard = m.heardAt !== null && now - m.heardAt < longestReportMs(this.tenure.c.settings) + 1000;
+    return isHeard && p.state === 'starting' && m.unanswered.has(startName(job.spec.id, p.task, p.attempt));
+  }
+
   /** What ends by itself on a machine: its notice, and the time that work with checkpoints has left. */
   private expire(m: Machine, now: Ms): void {
     if (m.goneBy !== null && now > later(m.goneBy, 1500)) this.fleet.giveBack(m, 'taken back');
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -43,6 +43,8 @@
   errors = 0;
   notBefore = 0 as Ms;
   firstStartAt: Ms | null = null;
+  /** Its cancellation was confirmed no earlier than this, by whichever node; null: it is not cancelled, or nobody knows. */
+  cancelledAt: Ms | null = null;
   /** Its cancellation was confirmed to its user after this, if it is cancelled; null: it may have been at any time. */
   cancelledAfter: Ms | null = null;
   /** Lowest task that may be pending: a cursor for jobs with very many tasks. */
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -53,6 +53,11 @@
   private readonly speeds = new Map<string, { sum: number; count: number }>();
   private slow = 1;
   sending = false;
+  /**
+   * Whether it surely is of now: placed on by records, rented or listed, or heard with this leader's token or by a call. A
+   * report alone may be an old one, of a machine that was given back long ago; nothing is placed there.
+   */
+  isProven = true;
   /** Whether the cloud has listed it as running: its worker may have started tasks. */
   listedRunning = false;
   drainReason = '';
@@ -82,7 +87,7 @@
   }
 
   get takesTasks(): boolean {
-    return this.phase === 'ready';
+    return this.phase === 'ready' && this.isProven;
   }
 
   /**
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -26,6 +26,8 @@
   readonly chunkSize: number;
   /** The task graph that the job is a part of; absent for a user's own job. */
   readonly graph?: string;
+  /** When its cancellation was asked for: it was confirmed no earlier. Absent in records of earlier versions. */
+  readonly cancelledAt?: WallMs;
 }
 
 export function encodeJob(r: JobRecord): Record<string, unknown> {
@@ -35,7 +37,9 @@
     at: r.at,
     chunk: r.chunkSize,
   };
-  return r.graph === undefined ? record : { ...record, graph: r.graph };
+  if (r.graph !== undefined) record['graph'] = r.graph;
+  if (r.cancelledAt !== undefined) record['cancelledAt'] = r.cancelledAt;
+  return record;
 }
 
 /**
@@ -80,12 +84,14 @@
   const o = read.asObject(value, 'job record');
   const graph = read.optStr(o, 'graph');
   const over = o['over'];
+  const cancelledAt = read.optAmount(o, 'cancelledAt');
   return {
     spec: over === undefined ? parseSubmission(o['spec']) : foldedSpec(read.asArray(over, 'over')),
     phase: read.oneOf(o, 'phase', ['active', 'done', 'cancelled']),
     at: read.amount(o, 'at') as WallMs,
     chunkSize: read.count(o, 'chunk', 1),
     ...(graph === null ? {} : { graph }),
+    ...(cancelledAt === null ? {} : { cancelledAt: cancelledAt as WallMs }),
   };
 }
 
