--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -58,9 +58,10 @@
 export class RuleChecker {
   readonly broken: Broken[] = [];
   readonly submitted = new Map<JobId, JobSpec>();
-  private readonly accepted = new Set<JobId>();
+  /** When users were first told so. */
+  private readonly accepted = new Map<JobId, number>();
   private readonly toldCancelled = new Map<JobId, number>();
-  private readonly toldDone = new Set<JobId>();
+  private readonly toldDone = new Map<JobId, number>();
   private readonly askedCancel = new Set<JobId>();
   private readonly doneTasks = new Map<JobId, Set<number>>();
   private readonly on = new Map<string, On>();
@@ -83,6 +84,10 @@
   calmFromMs = Infinity;
   /** Longest time for which a question about an accepted job went unanswered since then. */
   longestUnansweredMs = 0;
+  /** Starts after the user was told that the job is cancelled, also those that were gone within `cancel_s`. */
+  startsOfCancelled = 0;
+  /** Told of every job whose last task completed. */
+  onComplete: ((spec: JobSpec) => void) | null = null;
   /** Told of every run that ends. */
   onRun: ((run: Run) => void) | null = null;
 
@@ -107,6 +112,7 @@
     const life = this.lives.get(job.id);
     if (life !== undefined) life.startedMs ??= this.now();
     if (this.isDone(job.id, task)) this.startsOfDone += 1;
+    if (this.toldCancelled.has(job.id)) this.startsOfCancelled += 1;
     const name = `${job.id}/${task}`;
     const other = [...this.on.values()].find((o) => o.job.id === job.id && o.task === task);
     if (other !== undefined) this.breaks('ran_twice', `${name} on ${other.machine} and ${machine.machine}`);
@@ -154,7 +160,10 @@
 
   private complete(id: JobId, done: number): void {
     const life = this.lives.get(id);
-    if (life !== undefined && done === this.submitted.get(id)?.tasks) life.endedMs ??= this.now();
+    const spec = this.submitted.get(id);
+    if (life === undefined || done !== spec?.tasks || life.endedMs !== null) return;
+    life.endedMs = this.now();
+    this.onComplete?.(spec);
   }
 
   /** A gang completes together: if one task is done, all are. */
@@ -258,6 +267,35 @@
     );
   }
 
+  isAccepted(id: JobId): boolean {
+    return this.accepted.has(id);
+  }
+
+  /** Whether the job's last task completed. */
+  isOver(id: JobId): boolean {
+    return this.lives.get(id)?.endedMs !== null;
+  }
+
+  isToldDone(id: JobId): boolean {
+    return this.toldDone.has(id);
+  }
+
+  isCancelAsked(id: JobId): boolean {
+    return this.askedCancel.has(id);
+  }
+
+  /** Tasks of the job that are on machines now. */
+  countOf(id: JobId): number {
+    let count = 0;
+    for (const o of this.on.values()) if (o.job.id === id) count += 1;
+    return count;
+  }
+
+  /** A job waits for so long though it could run. */
+  leftWaiting(id: JobId, forMs: number): void {
+    this.breaks('left_waiting', `${id} for ${forMs} ms`);
+  }
+
   /** Tasks of the kind that are on machines now. */
   countOn(kind: JobSpec['kind']): number {
     let count = 0;
@@ -296,32 +334,53 @@
       this.breaks('forgotten', `${id} got no answer for ${forMs} ms after all troubles`);
   }
 
-  /** A user was answered. */
-  told(id: JobId, call: 'submit' | 'poll' | 'cancel', code: number, phase: JobPhase | null): void {
+  /**
+   * A user was answered. Where several of a user's requests were under way at once, `askedMs` is when this one was sent:
+   * what was learned after that is no reason to expect it in the answer. Returns whether the user was told something new.
+   */
+  told(
+    id: JobId,
+    call: 'submit' | 'poll' | 'cancel',
+    code: number,
+    phase: JobPhase | null,
+    askedMs = this.now(),
+  ): boolean {
     if (this.accepted.has(id)) this.countAnswer(id, call, code < 500);
     const spec = this.submitted.get(id);
     if (spec === undefined) {
       if (code === 200) this.breaks('invented', id);
-      return;
+      return false;
     }
-    if (this.accepted.has(id) && (code === 404 || code === 400 || code === 422))
+    const isKnown = (at: number | undefined): boolean => at !== undefined && at <= askedMs;
+    if (isKnown(this.accepted.get(id)) && (code === 404 || code === 400 || code === 422))
       this.breaks('forgotten', `${id} got ${code} on ${call}`);
-    if (code !== 200 && code !== 201) return;
-    if (!this.accepted.has(id)) this.isNews(id);
-    this.accepted.add(id);
+    if (code !== 200 && code !== 201) return false;
+    let isNew = false;
+    const first = (told: Map<JobId, number>): void => {
+      if (told.has(id)) return;
+      told.set(id, this.now());
+      isNew = true;
+    };
+    first(this.accepted);
     if (phase === 'done') {
       if (spec.kind === 'service' || (this.doneTasks.get(id)?.size ?? 0) < spec.tasks)
         this.breaks('not_done', id);
-      if (!this.toldDone.has(id)) this.isNews(id);
-      this.toldDone.add(id);
-    } else if (this.toldDone.has(id)) this.breaks('went_back', `${id} was done, now ${String(phase)}`);
+      // Both are final: whichever was asked for first, they can't both be true.
+      if (this.toldCancelled.has(id)) this.breaks('went_back', `${id} was cancelled, now done`);
+      first(this.toldDone);
+    } else if (isKnown(this.toldDone.get(id)) || (phase === 'cancelled' && this.toldDone.has(id)))
+      this.breaks('went_back', `${id} was done, now ${String(phase)}`);
     if (phase === 'cancelled') {
       if (!this.askedCancel.has(id)) this.breaks('went_back', `${id} was not cancelled by its user`);
-      if (!this.toldCancelled.has(id)) {
-        this.toldCancelled.set(id, this.now());
-        this.isNews(id);
-      }
-    } else if (this.toldCancelled.has(id))
+      first(this.toldCancelled);
+    } else if (phase !== 'done' && isKnown(this.toldCancelled.get(id)))
       this.breaks('went_back', `${id} was cancelled, now ${String(phase)}`);
+    if (isNew) this.isNews(id);
+    return isNew;
+  }
+
+  /** The answer to a submission that can never run, or that lacks what it must have. */
+  toldOdd(id: JobId, what: string, code: number): void {
+    if (code === 200 || code === 201) this.breaks('accepted_wrongly', `${id} with ${what}`);
   }
 }
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -7,11 +7,27 @@
 const LATE_REPORT_LEASES = 1.5;
 /** A direct command, or its answer, is held up for so long at the most. */
 const HELD_COMMAND_MS = 9000;
+/** Machines that are up at once are so within this, in milliseconds. */
+const FAST_BOOT_MS = 1900;
 
 /** What goes wrong for a share of messages, or for some machines, for as long as it is set. */
 export class Faults {
   /** Share of transactions that get no answer and are carried out late, after newer ones of the same node. */
   lateWrites = 0;
+  /** Share of transactions that are carried out at once, but of which only the answer is lost. */
+  lostAnswers = 0;
+  /** Each request to the state service and each answer of it is late by up to so many milliseconds. */
+  slowStateMs = 0;
+  /** New machines are up within two seconds. */
+  fastBoots = false;
+  /** Share of workers' reports of which a copy is kept, and reaches every node as the next leader begins. */
+  keptReports = 0;
+  /** Share of the jobs that end which are called off at that moment. */
+  cancelsAtEnd = 0;
+  /** Share of what users are told anew after which they look at all nodes within milliseconds. */
+  closeLooks = 0;
+  /** Machines that reach no controller, while direct commands reach them. */
+  readonly mute = new Set<MachineId>();
   /** Share of workers' reports of which a copy arrives again, late. */
   lateReports = 0;
   /** Share of direct commands that are held up, on their way there or back. */
@@ -19,14 +35,22 @@
   /** Machines whose reports arrive while answers and direct commands to them are lost. */
   readonly deaf = new Set<MachineId>();
   /** How many of each kind came about. */
-  readonly counts = { lateWrites: 0, lateReports: 0, heldCommands: 0 };
+  readonly counts = {
+    lateWrites: 0,
+    lostAnswers: 0,
+    lateReports: 0,
+    keptReports: 0,
+    heldCommands: 0,
+    cancelsAtEnd: 0,
+    closeLooks: 0,
+  };
 
   constructor(
     private readonly random: (below: number) => number,
     private readonly leaseMs: number,
   ) {}
 
-  private happens(kind: keyof Faults['counts']): boolean {
+  happens(kind: keyof Faults['counts']): boolean {
     // Nothing is drawn where nothing is set: days without these faults go as they always did.
     if (this[kind] <= 0 || this.random(1000) >= this[kind] * 1000) return false;
     this.counts[kind] += 1;
@@ -39,6 +63,20 @@
     return this.happens('lateWrites') ? least + this.random(most - least) : null;
   }
 
+  losesAnswer(): boolean {
+    return this.happens('lostAnswers');
+  }
+
+  /** How much later one message to or from the state service arrives, in milliseconds. */
+  slowMs(): number {
+    return this.slowStateMs > 0 ? this.random(this.slowStateMs) : 0;
+  }
+
+  /** How long a machine takes to be up, of which `usualMs` is drawn for usual days. */
+  bootMs(usualMs: number): number {
+    return this.fastBoots ? this.random(FAST_BOOT_MS) : usualMs;
+  }
+
   /** How much later a copy of this report arrives; null: there is none. */
   lateReportMs(): number | null {
     const most = this.leaseMs * LATE_REPORT_LEASES;
--- a/packages/testkit/src/losses.ts
+++ b/packages/testkit/src/losses.ts
@@ -64,12 +64,9 @@
   });
 }
 
-/** Index of the node that holds the lease surely, or else of the first. */
+/** Index of the node that holds the lease surely; -1: none does. */
 export function leaderIndex(w: World): number {
-  return Math.max(
-    0,
-    w.nodes.findIndex((n) => n.clock.alive && n.controller.leadership.holdsSurely()),
-  );
+  return w.nodes.findIndex((n) => n.clock.alive && n.controller.leadership.holdsSurely());
 }
 
 export function accompany(w: World, companion: Companion, loss: Loss, atMs: number): void {
@@ -81,11 +78,11 @@
       return;
     case 'leader crashes':
       return at(atMs + 1, () => {
-        w.crash(leaderIndex(w));
+        w.crash(Math.max(0, leaderIndex(w)));
       });
     case 'takeover in the middle':
       at(atMs - 500, () => {
-        w.crash(leaderIndex(w));
+        w.crash(Math.max(0, leaderIndex(w)));
       });
       return;
     case 'twice':
--- a/packages/testkit/src/meetings.ts
+++ b/packages/testkit/src/meetings.ts
@@ -1,11 +1,13 @@
-import type { MachineId } from '@spurbridge/wire';
+import type { JobId, MachineId } from '@spurbridge/wire';
 import { CALM_MS, drawBackMs } from './drawn.js';
+import { jobSpec } from './fixtures.js';
 import { leaderIndex } from './losses.js';
 import { STATE_HOST } from './state.js';
 import type { World } from './world.js';
 
-/** The lease of `smallWorld` less the longest time between two reports. */
-const LONGEST_HANG_MS = 8000;
+const ONE_TASK_EVERY_MS = 250;
+const ODD_EVERY_MS = 400;
+const ONE_TASK_MOST_MS = 30_000;
 
 /** A trouble that begins now and is over after so long. */
 type Trouble = (w: World, forMs: number) => void;
@@ -14,7 +16,9 @@
   w.time.after(forMs, run);
 }
 
-function share(of: 'lateWrites' | 'lateReports' | 'heldCommands'): Trouble {
+type Share = 'lateWrites' | 'lostAnswers' | 'lateReports' | 'keptReports' | 'heldCommands';
+
+function share(of: Share | 'cancelsAtEnd' | 'closeLooks'): Trouble {
   return (w, forMs) => {
     w.faults[of] = [0.1, 0.3, 0.7][w.random(3)] ?? 0.3;
     heal(w, forMs, () => {
@@ -47,11 +51,75 @@
   return w.nodes.filter((_, i) => i !== node).map((n) => n.name as string);
 }
 
-/** Where two of these meet, rules have broken: what the operators' letter names. */
+/** Again and again, until so much later. */
+function every(w: World, ms: number, forMs: number, run: () => void): void {
+  for (let at = 0; at < forMs; at += ms) w.time.after(at, run);
+}
+
+/** Jobs of one task, four a second, a quarter of them cancelled soon after. */
+export function oneTaskJobs(w: World, forMs: number): void {
+  const first = w.checker.submitted.size;
+  let n = 0;
+  every(w, ONE_TASK_EVERY_MS, forMs, () => {
+    const id = `wk-${String(500_000 + first * 1000 + (n += 1)).padStart(6, '0')}` as JobId;
+    const spec = jobSpec({ id, class: 'one-task', tasks: 1, cpus: 1, estimateS: 1 + w.random(4) });
+    w.user(spec, w.random(4) === 0 ? w.time.now + w.random(4000) : null);
+  });
+}
+
+/** Where two of these meet, rules have broken: what the operators' letters name. */
 export const MEETINGS: Readonly<Record<string, Trouble>> = {
   'late writes': share('lateWrites'),
   'late reports': share('lateReports'),
   'held commands': share('heldCommands'),
+  'lost answers': share('lostAnswers'),
+  'reports kept for the next leader': share('keptReports'),
+  'cancelled at the end': share('cancelsAtEnd'),
+  'close looks': share('closeLooks'),
+  'slow state service': (w, forMs) => {
+    w.faults.slowStateMs = [200, 500, 1000][w.random(3)] ?? 500;
+    heal(w, forMs, () => {
+      w.faults.slowStateMs = 0;
+    });
+  },
+  'slow links': (w, forMs) => {
+    w.network.slowMs = [100, 300, 700][w.random(3)] ?? 300;
+    heal(w, forMs, () => {
+      w.network.slowMs = 0;
+    });
+  },
+  'machines up at once': (w, forMs) => {
+    w.faults.fastBoots = true;
+    for (const id of someMachines(w)) w.takeBack(id);
+    heal(w, forMs, () => {
+      w.faults.fastBoots = false;
+    });
+  },
+  'mute machines': (w, forMs) => {
+    const machines = someMachines(w);
+    for (const id of machines) w.faults.mute.add(id);
+    heal(w, forMs, () => {
+      for (const id of machines) w.faults.mute.delete(id);
+    });
+  },
+  'called off at once, some hang': (w, forMs) => {
+    const called = new Set(w.users.cancelRunning(2 + w.random(6)).map((s) => s.id));
+    const on = [...w.workers.values()].filter(
+      (x) => x.alive && x.taken().some((t) => called.has(t.job.id)) && w.random(2) === 0,
+    );
+    for (const x of on) x.hang();
+    heal(w, forMs, () => {
+      for (const x of on) x.resume();
+    });
+  },
+  'odd requests': (w, forMs) => {
+    every(w, ODD_EVERY_MS, forMs, () => {
+      w.users.oddRequest();
+    });
+  },
+  'one-task jobs': (w, forMs) => {
+    oneTaskJobs(w, Math.min(forMs, ONE_TASK_MOST_MS));
+  },
   'deaf machines': (w, forMs) => {
     const machines = someMachines(w);
     for (const id of machines) w.faults.deaf.add(id);
@@ -70,8 +138,7 @@
   'hung machines': (w, forMs) => {
     const machines = someMachines(w);
     for (const id of machines) w.workers.get(id)?.hang();
-    // A hanging machine resumes within its lease, or not at all (the protocol, "Leases").
-    heal(w, Math.min(forMs, LONGEST_HANG_MS), () => {
+    heal(w, forMs, () => {
       for (const id of machines) w.workers.get(id)?.resume();
     });
   },
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -4,6 +4,8 @@
 export class SimNetwork {
   private readonly cuts = new Map<string, 'hold' | 'drop'>();
   private readonly heldBack = new Map<string, (() => void)[]>();
+  /** Every message is late by up to so many milliseconds more. */
+  slowMs = 0;
 
   constructor(
     private readonly time: SimTime,
@@ -29,7 +31,7 @@
   send(from: string, to: string, deliver: () => void): void {
     const pair = SimNetwork.pair(from, to);
     const mode = this.cuts.get(pair);
-    if (mode === undefined) this.time.after(1 + this.random(8), deliver);
+    if (mode === undefined) this.time.after(1 + this.random(8) + this.random(this.slowMs), deliver);
     else if (mode === 'hold') {
       const held = this.heldBack.get(pair);
       if (held === undefined) this.heldBack.set(pair, [deliver]);
@@ -38,18 +40,35 @@
   }
 
   /** A request and its answer; null when none comes in time. The request may still be carried out. */
-  call<T>(from: string, to: string, timeoutMs: number, handle: () => T | null): Promise<T | null> {
+  call<T>(
+    from: string,
+    to: string,
+    timeoutMs: number,
+    handle: () => T | null,
+    /** How much later than usual a message on this way is, in milliseconds. */
+    lateMs: () => number = () => 0,
+  ): Promise<T | null> {
     return new Promise((resolve) => {
       this.time.after(timeoutMs, () => {
         resolve(null);
       });
-      this.send(from, to, () => {
-        const answer = handle();
-        if (answer !== null)
-          this.send(to, from, () => {
-            resolve(answer);
+      this.afterwards(lateMs(), () => {
+        this.send(from, to, () => {
+          const answer = handle();
+          if (answer === null) return;
+          this.afterwards(lateMs(), () => {
+            this.send(to, from, () => {
+              resolve(answer);
+            });
           });
+        });
       });
     });
   }
+
+  /** So much later, or at once where that is no time at all. */
+  afterwards(ms: number, run: () => void): void {
+    if (ms > 0) this.time.after(ms, run);
+    else run();
+  }
 }
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -41,6 +41,18 @@
 /** A watch is given up so long after it should have been answered. */
 const WATCH_PATIENCE_MS = 3000;
 
+/** What goes wrong between the state service and its callers. */
+export interface StateFaults {
+  /** How much later a transaction is carried out, without an answer, in milliseconds; null: at once. */
+  lateWriteMs(): number | null;
+  /** Whether a transaction is carried out and only its answer is lost. */
+  losesAnswer(): boolean;
+  /** How much later a message arrives, in milliseconds. */
+  slowMs(): number;
+}
+
+const NO_FAULTS: StateFaults = { lateWriteMs: () => null, losesAnswer: () => false, slowMs: () => 0 };
+
 /** Stand-in of the state service: strongly consistent, with leases, watches and outages. */
 export class SimState {
   private readonly entries = new Map<string, Entry>();
@@ -59,8 +71,7 @@
     readonly time: SimTime,
     readonly network: SimNetwork,
     private readonly limits: StateLimits,
-    /** How much later a transaction is carried out, without an answer; null: at once. */
-    readonly lateMs: () => number | null = () => null,
+    readonly faults: StateFaults = NO_FAULTS,
   ) {
     this.requestTokens = limits.rps;
     this.writeTokens = limits.writeRps;
@@ -356,6 +367,7 @@
       ANSWER_MS,
       () =>
         this.state.down || this.refused || !this.state.admits(changes) ? { outcome: 'refused' } : handle(),
+      () => this.state.faults.slowMs(),
     );
     if (!this.clock.alive) return new Promise(() => undefined);
     if (answer !== null && answer.outcome !== 'refused') this.failing = null;
@@ -372,8 +384,14 @@
   }
 
   commit(conditions: readonly Condition[], changes: readonly Change[]): Promise<CommitOutcome> {
-    const lateMs = changes.length > 0 ? this.state.lateMs() : null;
-    if (lateMs === null) return this.call(() => this.state.commit(conditions, changes), changes.length);
+    const lateMs = changes.length > 0 ? this.state.faults.lateWriteMs() : null;
+    if (lateMs === null) {
+      const isLost = changes.length > 0 && this.state.faults.losesAnswer();
+      return this.call(() => {
+        const outcome = this.state.commit(conditions, changes);
+        return isLost ? null : outcome;
+      }, changes.length);
+    }
     const { state } = this;
     if (!state.down && !this.refused)
       state.time.after(lateMs, () => {
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -131,6 +131,11 @@
     return this.node % this.world.nodes.length;
   }
 
+  /** What is taken of the machine, also by tasks that fetch, by team. */
+  taken(): readonly { readonly job: JobSpec }[] {
+    return [...this.tasks.values()].filter((t) => t.phase !== 'exited');
+  }
+
   die(): void {
     this.alive = false;
     this.clear();
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -21,7 +21,7 @@
 } from '@spurbridge/wire';
 import type { Folder } from '@spurbridge/snapshot';
 import { Shelf, keepSnapshots } from '@spurbridge/snapshot';
-import { decodePeerMessage, encodePeerMessage, formatSubmission } from '@spurbridge/wire';
+import { decodePeerMessage, encodePeerMessage } from '@spurbridge/wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { RuleChecker } from './checker.js';
@@ -32,12 +32,16 @@
 import { SimState, SimStore, STATE_HOST } from './state.js';
 import type { SimAnswer, SimGang } from './worker.js';
 import { SimWorker } from './worker.js';
+import { USUAL_POLL_MS, Users } from './users.js';
 
 export const CLOUD_HOST = 'cloud';
-const USER_HOST = 'user';
 const RESTART_MS = 8000;
 const KEPT_SNAPSHOTS = 9;
 const LIST_LAG_MS = 4000;
+/** A machine that can open no connection notices so soon. */
+const MUTE_MS = 300;
+/** Copies of reports that are kept for the next leader. */
+const MOST_KEPT = 400;
 const GANG_WAIT_S = 20;
 const GANG_PEER_S = 4;
 
@@ -90,6 +94,7 @@
   readonly state: SimState;
   readonly faults: Faults;
   readonly checker: RuleChecker;
+  readonly users: Users;
   readonly workers = new Map<MachineId, SimWorker>();
   readonly nodes: SimNode[] = [];
   private readonly generator;
@@ -108,10 +113,12 @@
     this.generator = xoroshiro128plus(o.seed);
     this.network = new SimNetwork(this.time, (below) => this.random(below));
     this.faults = new Faults((below) => this.random(below), o.leaseS * 1000);
-    this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE, () =>
-      this.faults.lateWriteMs(),
-    );
+    this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE, this.faults);
     this.checker = new RuleChecker(() => this.time.now, o.teams, o.cancelS * 1000);
+    this.checker.onComplete = (spec) => {
+      if (this.faults.happens('cancelsAtEnd')) this.users.cancelNow(spec);
+    };
+    this.users = new Users(this, o.pollMs ?? USUAL_POLL_MS);
     for (let i = 0; i < this.nodeCount; i += 1) {
       const name = `spur-${i}` as NodeId;
       this.nodes.push(this.boot(name, this.zoneOf(i)));
@@ -365,7 +372,7 @@
         id,
         machine: { id, address: id, type: q.type, zone: q.zone, spot: q.spot },
       });
-      this.time.after(type.bootS * (600 + this.random(900)), () => {
+      this.time.after(this.faults.bootMs(type.bootS * (600 + this.random(900))), () => {
         if (this.goneAt.has(id)) return;
         this.workers.set(id, new SimWorker(id, type, q.zone, q.spot, this.workerWorld()));
       });
@@ -474,8 +481,15 @@
       // The answer to a copy finds nobody who waits for it.
       if (lateMs !== null)
         this.time.after(lateMs, () => {
-          this.network.send(worker.id, node, () => void this.alive(node)?.controller.report(report));
+          this.deliverCopy(node, report);
+        });
+      if (this.faults.happens('keptReports')) this.keepForNext(report);
+      if (this.faults.mute.has(worker.id)) {
+        this.time.after(MUTE_MS, () => {
+          resolve(null);
         });
+        return;
+      }
       this.network.send(worker.id, node, () => {
         const target = this.alive(node);
         if (target === null) return;
@@ -489,6 +503,36 @@
     });
   }
 
+  /** A copy of a report reaches a node; the answer finds nobody who waits for it. */
+  private deliverCopy(node: string, report: WorkerReport): void {
+    this.network.send(report.machine, node, () => void this.alive(node)?.controller.report(report));
+  }
+
+  private readonly kept: WorkerReport[] = [];
+
+  /** Copies are kept until a node begins to lead, and then reach all nodes at once. */
+  private keepForNext(report: WorkerReport): void {
+    this.kept.push(report);
+    if (this.kept.length > MOST_KEPT) this.kept.shift();
+    if (this.kept.length === 1) this.watchForNext(this.highestLed());
+  }
+
+  private highestLed(): number {
+    const leading = this.nodes.filter((n) => n.clock.alive && n.controller.leadership.state === 'leading');
+    return Math.max(0, ...leading.map((n) => n.controller.leadership.token));
+  }
+
+  private watchForNext(token: number): void {
+    const now = this.highestLed();
+    if (now > token && token > 0) {
+      for (const report of this.kept.splice(0)) for (const n of this.nodes) this.deliverCopy(n.name, report);
+      return;
+    }
+    this.time.after(5, () => {
+      this.watchForNext(Math.max(now, token));
+    });
+  }
+
   private linkFor(host: string): WorkerLink {
     const call = async (
       address: string,
@@ -503,11 +547,11 @@
           resolve({ outcome: 'unknown' });
         });
         const held = this.faults.heldCommandMs();
-        this.afterwards(held.there, () => {
+        this.network.afterwards(held.there, () => {
           this.network.send(host, address, () => {
             if (this.faults.deaf.has(worker.id)) return;
             worker.commands(token, session, commands, (executed, report) => {
-              this.afterwards(held.back, () => {
+              this.network.afterwards(held.back, () => {
                 this.network.send(address, host, () => {
                   resolve({ outcome: executed ? 'executed' : 'rejected', report });
                 });
@@ -529,53 +573,16 @@
     };
   }
 
-  private afterwards(ms: number, run: () => void): void {
-    if (ms > 0) this.time.after(ms, run);
-    else run();
-  }
-
   // --- users -----------------------------------------------------------------------------------
 
-  private readonly cancelAt = new Map<JobId, number>();
-
   /** The job's user asks to cancel it, so much later. */
   cancelSoon(id: JobId, inMs: number): void {
-    this.cancelAt.set(id, this.time.now + inMs);
+    this.users.cancelSoon(id, inMs);
   }
 
   /** Submits until accepted or refused for good, then polls and, if asked to, cancels. */
   user(spec: JobSpec, cancelAfterMs: number | null): void {
-    this.checker.submit(spec);
-    let accepted = false;
-    let over = false;
-    if (cancelAfterMs !== null) this.cancelAt.set(spec.id, cancelAfterMs);
-    const ask = (): void => {
-      if (over) return;
-      const node = this.nodes[this.random(this.nodes.length)];
-      if (node?.clock.alive === true) {
-        const cancelling = accepted && this.time.now >= (this.cancelAt.get(spec.id) ?? Infinity);
-        const call = !accepted ? 'submit' : cancelling ? 'cancel' : 'poll';
-        if (cancelling) this.checker.cancelAsked(spec.id);
-        const answered =
-          call === 'submit'
-            ? node.controller.jobs.submit(formatSubmission(spec))
-            : call === 'cancel'
-              ? node.controller.jobs.cancel(spec.id)
-              : node.controller.jobs.status(spec.id);
-        void answered.then((a) => {
-          this.network.send(node.name, USER_HOST, () => {
-            const phase = 'status' in a ? a.status.phase : null;
-            this.checker.told(spec.id, call, a.code, phase);
-            if (a.code === 200 || a.code === 201) accepted = true;
-            // A final answer is asked for again once in a while: it must stay the same.
-            if (phase === 'cancelled' || phase === 'done') over = this.random(4) === 0;
-          });
-        });
-      }
-      const leastMs = accepted ? (this.o.pollMs ?? 1500) : 1500;
-      this.time.after(leastMs + this.random(2 * leastMs), ask);
-    };
-    ask();
+    this.users.user(spec, cancelAfterMs);
   }
 
   async run(untilMs: number): Promise<void> {
@@ -587,6 +594,10 @@
     await this.time.run(untilMs);
   }
 
+  get teams(): readonly Team[] {
+    return this.o.teams;
+  }
+
   phaseOf(id: JobId): unknown {
     return (this.state.peek(`j/${id}`) as { phase?: unknown } | undefined)?.phase;
   }
--- a/packages/testkit/test/meetings.test.ts
+++ b/packages/testkit/test/meetings.test.ts
@@ -2,16 +2,19 @@
 import { test } from 'node:test';
 import {
   CALM_MS,
-  DAY_MS,
+  WAITED_MS,
   drawMeeting,
   drawUsers,
   openArrays,
   smallWorld,
   watchLeaders,
+  watchWaiting,
 } from '../src/index.js';
 
 /** Once troubles are over every question about an accepted job is answered within this. */
 const ANSWERED_MS = 20_000;
+/** Long enough for a job to have waited too long once all troubles are over. */
+const LENGTH_MS = CALM_MS + WAITED_MS + 15_000;
 
 /** `SPURBRIDGE_MEETING_SEEDS=1-500 npm run unit` plays more by hand. */
 function seeds(standard: number): number[] {
@@ -29,7 +32,8 @@
       assert.fail(`${met}: two leaders at ${at}`);
     });
     w.checker.calmFromMs = CALM_MS;
-    await w.run(DAY_MS);
+    watchWaiting(w);
+    await w.run(LENGTH_MS);
     assert.deepEqual(w.checker.broken, [], met);
     assert.ok(w.checker.starts > 0, `${met}: nothing was started`);
     assert.deepEqual(openArrays(w), [], met);
