--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -374,7 +374,7 @@
       });
       this.time.after(this.faults.bootMs(type.bootS * (600 + this.random(900))), () => {
         if (this.goneAt.has(id)) return;
-        this.workers.set(id, new SimWorker(id, type, q.zone, q.spot, this.workerWorld()));
+        this.addWorker(id, type, q.zone, q.spot);
       });
     }
     this.requests.set(q.request, machines);
@@ -382,6 +382,11 @@
     return { outcome: 'rented', machines };
   }
 
+  /** A machine is up from now on. */
+  addWorker(id: MachineId, type: MachineType, zone: string, spot: boolean): void {
+    this.workers.set(id, new SimWorker(id, type, zone, spot, this.workerWorld()));
+  }
+
   private remove(ids: readonly MachineId[]): true {
     for (const id of ids) {
       if (!this.goneAt.has(id)) this.goneAt.set(id, this.time.now);
--- a/packages/testkit/test/checker.test.ts
+++ b/packages/testkit/test/checker.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Attempt, JobId, MachineId } from '@spurbridge/wire';
-import { RuleChecker, TEAMS, jobSpec } from '../src/index.js';
+import { encodeJob } from '@spurbridge/model';
+import type { WallMs } from '@spurbridge/model';
+import { RuleChecker, TEAMS, TYPES, jobSpec, smallWorld, watchWaiting } from '../src/index.js';
 
 const id = 'wk-000001' as JobId;
 const one = 1 as Attempt;
@@ -172,3 +174,100 @@
   now = 250_000;
   assert.deepEqual(c.unserved(), ['class work, largest: ended 0.00', 'class work, largest: started 0.00']);
 });
+
+test('a submission that must not be accepted and is accepted is found', () => {
+  assert.deepEqual(
+    judged((c) => {
+      c.toldOdd(id, 'no memGb', 400);
+      c.toldOdd(id, 'no memGb', 503);
+      c.toldOdd(id, 'no memGb', 201);
+      c.toldOdd(id, 'no memGb', 200);
+    }),
+    ['accepted_wrongly', 'accepted_wrongly'],
+  );
+});
+
+test('starts after a confirmed cancellation are counted, also where they are gone in time', () => {
+  let now = 0;
+  const c = new RuleChecker(() => now, TEAMS, 10_000);
+  const spec = jobSpec({ id });
+  c.submit(spec);
+  c.started(spec, 0, one, on('n-1'));
+  c.cancelAsked(id);
+  c.told(id, 'cancel', 200, 'cancelled');
+  now = 100;
+  c.started(spec, 1, one, on('n-1'));
+  for (const task of [0, 1]) c.left(id, task, 'n-1' as MachineId, false);
+  now = 20_000;
+  c.sweep();
+  assert.deepEqual([c.startsOfCancelled, c.broken], [1, []]);
+});
+
+test('of several requests at once an answer counts as older by when it was asked for; done and cancelled never agree', () => {
+  const began = (c: RuleChecker): void => {
+    const spec = jobSpec({ id, tasks: 1 });
+    c.submit(spec);
+    c.started(spec, 0, one, on('n-1'));
+    c.told(id, 'submit', 201, 'queued');
+    c.cancelAsked(id);
+  };
+  const answers = (phase: 'queued' | 'done', askedMs: number) =>
+    judged((c, later) => {
+      began(c);
+      later(1000);
+      c.told(id, 'cancel', 200, 'cancelled');
+      c.left(id, 0, 'n-1' as MachineId, true);
+      later(100);
+      c.told(id, 'poll', 200, phase, askedMs);
+    });
+  assert.deepEqual(answers('queued', 999), []);
+  assert.deepEqual(answers('queued', 1000), ['went_back']);
+  assert.deepEqual(answers('done', 0), ['went_back']);
+  assert.deepEqual(
+    judged((c, later) => {
+      began(c);
+      later(1000);
+      c.left(id, 0, 'n-1' as MachineId, true);
+      c.told(id, 'poll', 200, 'done');
+      c.told(id, 'cancel', 200, 'cancelled', 0);
+    }),
+    ['went_back'],
+  );
+  assert.deepEqual(
+    judged((c, later) => {
+      later(500);
+      began(c);
+      c.told(id, 'poll', 404, null, 499);
+      c.told(id, 'poll', 404, null, 500);
+    }),
+    ['forgotten'],
+  );
+});
+
+test('a job left waiting for 90 s where a machine has room is found, one for which there is none is not', async () => {
+  const waited = async (cpus: number) => {
+    const w = smallWorld(3);
+    await w.run(10_000);
+    for (const n of w.nodes) n.store.refused = true;
+    const kept = { id: 'wk-000002' as JobId, tasks: 1, cpus, estimateS: 5 };
+    const record = encodeJob({
+      spec: jobSpec(kept),
+      phase: 'active',
+      at: w.wallStart as WallMs,
+      chunkSize: 8,
+    });
+    // Accepted, as its user was told, by nodes that then never hear of it again.
+    w.state.commit([], [{ put: `j/${kept.id}`, value: record }]);
+    w.checker.submit(jobSpec(kept));
+    w.checker.told(kept.id, 'submit', 201, 'queued');
+    const type = TYPES[0];
+    assert.ok(type !== undefined && cpus !== type.cpus);
+    w.addWorker('n-900000' as MachineId, type, 'a', true);
+    w.checker.calmFromMs = w.time.now;
+    watchWaiting(w);
+    await w.run(w.time.now + 120_000);
+    return w.checker.broken.filter((b) => b.rule === 'left_waiting').map((b) => b.what.split(' ')[0]);
+  };
+  assert.deepEqual(new Set(await waited(2)), new Set(['wk-000002']));
+  assert.deepEqual(await waited(16), []);
+});
