A gang that may be in one zone alone and must not is refused; sums of decimals at a limit are not

Cause, read in the sources: a gang with scatter and oneZone, or a zone, waited for ever, accepted though it can't run; three times 0.1 CPUs were more than a limit of 0.3, a 422 for what could run. One EPSILON for amounts, in model. Excluded: arrays and services of that kind, half of which runs.

--- a/packages/controller/src/queues.ts
+++ b/packages/controller/src/queues.ts
@@ -1,5 +1,5 @@
 import type { Job, Placement } from '@spurbridge/model';
-import { isUnsent } from '@spurbridge/model';
+import { EPSILON, isUnsent } from '@spurbridge/model';
 import type { Ms } from '@spurbridge/net';
 import { PRIORITY_ORDER } from '@spurbridge/planner';
 import type { MachineId } from '@spurbridge/wire';
@@ -7,7 +7,6 @@
 
 /** A head that has waited for longer than this is placed anew: what runs before it takes longer than was estimated. */
 const PATIENCE_MS = 6000;
-const EPSILON = 1e-6;
 
 /**
  * The machines' queues (docs/queues.md): tasks whose intent is durable and that wait for room on their machine. The head of a
--- a/packages/model/src/admission.ts
+++ b/packages/model/src/admission.ts
@@ -8,18 +8,28 @@
   readonly gpusMax: number;
 }
 
+/** Amounts are sums of decimals: they are the same within this. */
+export const EPSILON = 1e-6;
+
 /** Whether a machine of this type can ever hold one task of the job. */
 export function fitsType(spec: JobSpec, type: MachineType): boolean {
   return (
     (spec.types === null || spec.types.includes(type.name)) &&
     (spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
-    spec.cpus <= type.cpus &&
-    spec.gpus <= type.gpus &&
-    spec.memoryGb <= type.memoryGb
+    spec.cpus <= type.cpus + EPSILON &&
+    spec.gpus <= type.gpus + EPSILON &&
+    spec.memoryGb <= type.memoryGb + EPSILON
   );
 }
 
-/** Why a job can never run, or null. */
+/** In how many zones tasks of the job may be at the same time; a type that names no zone may be in any. */
+function zonesFor(spec: JobSpec, fitting: readonly MachineType[]): number {
+  if (spec.oneZone || spec.zone !== null) return 1;
+  if (fitting.some((t) => t.zones.length === 0)) return Infinity;
+  return new Set(fitting.flatMap((t) => t.zones)).size;
+}
+
+/** Why a job can never run, or null: docs/design.md, "What can never run". */
 export function neverRuns(
   spec: JobSpec,
   teams: readonly Team[],
@@ -27,9 +37,12 @@
 ): string | null {
   const team = teams.find((t) => t.name === spec.team);
   if (team === undefined) return 'unknown team';
-  if (!types.some((t) => fitsType(spec, t))) return 'a task fits no allowed machine type';
+  const fitting = types.filter((t) => fitsType(spec, t));
+  if (fitting.length === 0) return 'a task fits no allowed machine type';
   const together = spec.kind === 'array' ? 1 : spec.tasks;
-  if (spec.cpus * together > team.cpusMax || spec.gpus * together > team.gpusMax)
+  if (spec.cpus * together > team.cpusMax + EPSILON || spec.gpus * together > team.gpusMax + EPSILON)
     return "the job needs more than the team's limit";
+  if (spec.kind === 'gang' && spec.spread && spec.tasks > 1 && zonesFor(spec, fitting) < 2)
+    return 'scatter: a gang that may be in one zone alone has all its tasks there';
   return null;
 }
--- a/packages/model/test/model.test.ts
+++ b/packages/model/test/model.test.ts
@@ -184,7 +184,10 @@
 
 test("a job's record survives being written and read", () => {
   const record = { spec: jobSpec({ id }), phase: 'active' as const, at: 5 as WallMs, chunkSize: 256 };
-  assert.deepEqual(decodeJob(JSON.parse(JSON.stringify(encodeJob(record)))), record);
+  for (const over of [{}, { phase: 'cancelled' as const, cancelledAt: 7 as WallMs }]) {
+    const written = { ...record, ...over };
+    assert.deepEqual(decodeJob(JSON.parse(JSON.stringify(encodeJob(written)))), written);
+  }
 });
 
 test('jobs that can never run are told so', () => {
@@ -199,6 +202,26 @@
   assert.equal(of({ id, cpus: 16, tasks: 50 }), null);
   assert.match(of({ id, cpus: 16, tasks: 3, kind: 'gang' }) ?? '', /limit/);
   assert.match(of({ id, cpus: 16, tasks: 3, kind: 'service' }) ?? '', /limit/);
+  // Sums of decimals are as long as the limit, and not longer by the last bit.
+  const limit = [{ name: 'red', cpus: 0, cpusMax: 0.3, gpus: 0, gpusMax: 0 }];
+  assert.equal(neverRuns(jobSpec({ id, kind: 'gang', tasks: 3, cpus: 0.1 }), limit, TYPES), null);
+});
+
+test('a gang that has to be in one zone, and in no zone with more than half of it, can never run', () => {
+  const gang = { id, kind: 'gang' as const, tasks: 2, spread: true };
+  const of = (over: Parameters<typeof jobSpec>[0], types = TYPES): string | null =>
+    neverRuns(jobSpec(over), TEAMS, types);
+  assert.equal(of(gang), null);
+  assert.match(of({ ...gang, oneZone: true }) ?? '', /scatter/);
+  assert.match(of({ ...gang, zone: 'b' }) ?? '', /scatter/);
+  const [small] = TYPES;
+  assert.ok(small !== undefined);
+  assert.match(of(gang, [{ ...small, zones: ['a'] }]) ?? '', /scatter/);
+  assert.equal(of(gang, [{ ...small, zones: [] }]), null);
+  // One task is no more than half, rounded up; of arrays and services half can run.
+  assert.equal(of({ ...gang, tasks: 1, oneZone: true }), null);
+  assert.equal(of({ ...gang, kind: 'array', oneZone: true }), null);
+  assert.equal(of({ ...gang, kind: 'service', oneZone: true }), null);
 });
 
 test('a machine caches the images used last, within its cache', () => {
--- a/packages/planner/src/plan/bounds.ts
+++ b/packages/planner/src/plan/bounds.ts
@@ -7,7 +7,7 @@
 import type { Pooled, Queue } from './queue.js';
 import { settle } from './settle.js';
 import type { Evaluation, Kind } from './types.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 import { allows } from './types.js';
 
 /** Counts the job among those that are alike. */
--- a/packages/planner/src/plan/gangs.ts
+++ b/packages/planner/src/plan/gangs.ts
@@ -1,7 +1,7 @@
 import type { Ground } from './ground.js';
 import { preempt } from './preempt.js';
 import type { Choice, Evaluation } from './types.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 
 /** Starts a whole gang, or keeps its places and makes room for all of it. */
 export function settleGang(g: Ground, e: Evaluation): void {
--- a/packages/planner/src/plan/guarantees.ts
+++ b/packages/planner/src/plan/guarantees.ts
@@ -1,6 +1,6 @@
 import type { JobView, Snapshot } from '../snapshot.js';
 import { PATIENT } from './order.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 
 /** How many of its milestones a job cannot meet any more, even if all of it started now. */
 function lateness(j: JobView): number {
--- a/packages/planner/src/plan/pool.ts
+++ b/packages/planner/src/plan/pool.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from '@spurbridge/wire';
 import type { Pooled, Queue } from './queue.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 
 /** Beyond this, when something starts is as good as never. */
 const HORIZON_S = 4096;
--- a/packages/planner/src/plan/preempt.ts
+++ b/packages/planner/src/plan/preempt.ts
@@ -1,7 +1,7 @@
 import type { JobView, MachineView, Occupant } from '../snapshot.js';
 import { PRIORITY_ORDER } from '../snapshot.js';
 import type { Ground } from './ground.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 import { allows, fetchSeconds } from './types.js';
 
 /** Stopping a task and starting another in its place takes about this long. */
--- a/packages/planner/src/plan/queue.ts
+++ b/packages/planner/src/plan/queue.ts
@@ -1,5 +1,5 @@
 import type { MachineView } from '../snapshot.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 
 /** What bounds when a job can be done, beside memory. */
 export type Pooled = 'cpus' | 'gpus';
--- a/packages/planner/src/plan/settle.ts
+++ b/packages/planner/src/plan/settle.ts
@@ -2,7 +2,7 @@
 import type { Ground } from './ground.js';
 import { preempt } from './preempt.js';
 import type { Choice, Evaluation } from './types.js';
-import { EPSILON } from './epsilon.js';
+import { EPSILON } from '@spurbridge/model';
 
 /** Takes the evaluation over into the queues, and starts what can start now. */
 export function settle(g: Ground, e: Evaluation): void {
--- a/packages/testkit/src/waiting.ts
+++ b/packages/testkit/src/waiting.ts
@@ -1,3 +1,4 @@
+import { EPSILON } from '@spurbridge/model';
 import type { JobId, JobSpec } from '@spurbridge/wire';
 import type { SimWorker } from './worker.js';
 import type { World } from './world.js';
@@ -5,7 +6,6 @@
 /** Once all troubles are over no job waits for so long though it could run, in milliseconds. */
 export const WAITED_MS = 90_000;
 const LOOK_MS = 1000;
-const EPSILON = 1e-6;
 
 /** How many tasks of the job still fit on the machine, by what is taken of it. */
 function roomOn(x: SimWorker, spec: JobSpec): number {
