A large job begins with one task before four minutes are over, also with more work than room

Cause: the smallest completion first leaves the largest to the end, and by the mean of waiting nobody is starved in a queue in which all wait. An array of which nothing has begun by three fifths of the time is starved of its first task; that alone goes ahead.

--- a/packages/planner/src/plan/index.ts
+++ b/packages/planner/src/plan/index.ts
@@ -3,7 +3,7 @@
 import { bound, classify, drainS, exhausted, holds, leave } from './bounds.js';
 import { evaluate } from './evaluate.js';
 import { Ground } from './ground.js';
-import { meanWait, misses, tierOf } from './order.js';
+import { meanWait, misses, tierOf, withBeginnings } from './order.js';
 import { settle } from './settle.js';
 import type { Evaluation, Plan, PlanOptions } from './types.js';
 
@@ -25,7 +25,12 @@
 }
 
 function isStarved(g: Ground, job: JobView): boolean {
-  return meanWait(job) > g.starvationS;
+  return job.begins === true || meanWait(job) > g.starvationS;
+}
+
+/** All that a job asks for, in CPU seconds by its owner's estimate. */
+function work({ spec, estimateS }: JobView): number {
+  return spec.tasks * spec.cpus * estimateS;
 }
 
 function planAll(g: Ground): Plan {
@@ -68,7 +73,14 @@
     }
   };
   const starved = jobs.filter((j) => isStarved(g, j));
-  starved.sort((a, b) => meanWait(b) - meanWait(a) || a.order - b.order);
+  // Of those that have to begin the largest first: the order reaches the others sooner by itself.
+  starved.sort(
+    (a, b) =>
+      Number(b.begins === true) - Number(a.begins === true) ||
+      (a.begins === true ? work(b) - work(a) : 0) ||
+      meanWait(b) - meanWait(a) ||
+      a.order - b.order,
+  );
   for (const [i, j] of starved.entries()) {
     if (exhausted(g)) {
       leave(g, [...starved.slice(i), ...jobs.filter((x) => !isStarved(g, x)), ...later]);
@@ -128,5 +140,5 @@
 }
 
 export function plan(snapshot: Snapshot, options: PlanOptions = {}): Plan {
-  return planAll(new Ground(snapshot, options));
+  return planAll(new Ground(withBeginnings(snapshot), options));
 }
--- a/packages/planner/src/snapshot.ts
+++ b/packages/planner/src/snapshot.ts
@@ -35,6 +35,8 @@
   /** Tasks that may be placed now, at most a plan's worth. */
   readonly pending: readonly number[];
   readonly pendingCount: number;
+  /** Whether this is the first task of a job that has to begin: planned by itself, as one that is starved. */
+  readonly begins?: boolean;
   readonly unfinished: number;
   /** Zone of every task that may be on a machine. */
   readonly zones: readonly string[];
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -422,3 +422,18 @@
   assert.equal(unmet.length, 1);
   assert.ok(Math.abs((unmet[0]?.startsInS ?? 0) - 30) < 1, `${unmet[0]?.startsInS}`);
 });
+
+test('a large job that has not begun after two and a half minutes begins with one task, ahead of smaller ones', () => {
+  const large = (ageS: number, over: Partial<JobView> = {}): JobView =>
+    view(jobSpec({ id: id(1), tasks: 4, cpus: 2, estimateS: 30 }), { ageS, summedWaitS: 0, ...over });
+  const small = [2, 3, 4].map((n) =>
+    view(jobSpec({ id: id(n), tasks: 1, cpus: 2, estimateS: 2 }), { ageS: 1 }),
+  );
+  const started = (j: JobView): string[] =>
+    plan(snapshot([j, ...small], [machine(1)])).starts.map((s) => `${s.job}/${s.task}`);
+  assert.deepEqual(started(large(100)), [`${id(2)}/0`, `${id(3)}/0`]);
+  assert.deepEqual(started(large(150)), [`${id(1)}/0`, `${id(2)}/0`]);
+  // Of one that has begun the order alone decides.
+  const begun = { pendingCount: 3, pending: [1, 2, 3], unfinished: 4, zones: ['a'] };
+  assert.deepEqual(started(large(150, begun)), [`${id(2)}/0`, `${id(3)}/0`]);
+});
