--- a/packages/testkit/src/drawn.ts
+++ b/packages/testkit/src/drawn.ts
@@ -173,3 +173,16 @@
     .filter((s) => s.kind === 'array' && !['done', 'cancelled'].includes(String(w.phaseOf(s.id))))
     .map((s) => s.id);
 }
+
+/** A small world in which two leaders at the same moment end the test. */
+export function judgedWorld(seed: number, over: Partial<WorldOptions> = {}): World {
+  const w = smallWorld(seed, over);
+  watchLeaders(w, (at) => {
+    throw new Error(`two leaders at ${at}`);
+  });
+  return w;
+}
+
+export function jobId(n: number): JobId {
+  return `wk-${String(n).padStart(6, '0')}` as JobId;
+}
--- a/packages/testkit/src/meetings.ts
+++ b/packages/testkit/src/meetings.ts
@@ -32,6 +32,17 @@
   return up.filter(() => w.random(2) === 0);
 }
 
+/** Some machines count among these for so long. */
+function among(kind: 'mute' | 'deaf'): Trouble {
+  return (w, forMs) => {
+    const machines = someMachines(w);
+    for (const id of machines) w.faults[kind].add(id);
+    heal(w, forMs, () => {
+      for (const id of machines) w.faults[kind].delete(id);
+    });
+  };
+}
+
 /** The leader, or any node where nobody leads. */
 function leaderOrAny(w: World): number {
   const leader = leaderIndex(w);
@@ -95,13 +106,7 @@
       w.faults.fastBoots = false;
     });
   },
-  'mute machines': (w, forMs) => {
-    const machines = someMachines(w);
-    for (const id of machines) w.faults.mute.add(id);
-    heal(w, forMs, () => {
-      for (const id of machines) w.faults.mute.delete(id);
-    });
-  },
+  'mute machines': among('mute'),
   'called off at once, some hang': (w, forMs) => {
     const called = new Set(w.users.cancelRunning(2 + w.random(6)).map((s) => s.id));
     const on = [...w.workers.values()].filter(
@@ -120,13 +125,7 @@
   'one-task jobs': (w, forMs) => {
     oneTaskJobs(w, Math.min(forMs, ONE_TASK_MOST_MS));
   },
-  'deaf machines': (w, forMs) => {
-    const machines = someMachines(w);
-    for (const id of machines) w.faults.deaf.add(id);
-    heal(w, forMs, () => {
-      for (const id of machines) w.faults.deaf.delete(id);
-    });
-  },
+  'deaf machines': among('deaf'),
   'unreachable machines': (w, forMs) => {
     const machines = someMachines(w);
     const mode = w.random(2) === 0 ? 'hold' : 'drop';
--- a/packages/testkit/test/hunt-cases.test.ts
+++ b/packages/testkit/test/hunt-cases.test.ts
@@ -4,11 +4,11 @@
 import type { SimWorker, World } from '../src/index.js';
 import {
   cutZone,
+  jobId as id,
   jobSpec,
+  judgedWorld as world,
   leaderIndex,
   oneTaskJobs,
-  smallWorld,
-  watchLeaders,
   watchWaiting,
 } from '../src/index.js';
 
@@ -18,16 +18,6 @@
 /** Tasks run, and machines report to the nodes that will hold them. */
 const BEGIN_MS = 40_000;
 
-const id = (n: number): JobId => `wk-${String(n).padStart(6, '0')}` as JobId;
-
-function world(seed: number, over: Parameters<typeof smallWorld>[1] = {}): World {
-  const w = smallWorld(seed, over);
-  watchLeaders(w, (at) => {
-    assert.fail(`two leaders at ${at}`);
-  });
-  return w;
-}
-
 /** Jobs whose tasks outlast every trouble. */
 function longJobs(w: World, count: number, over: Partial<JobSpec> = {}): JobSpec[] {
   const specs = Array.from({ length: count }, (_, i) =>
--- a/packages/testkit/test/meeting-cases.test.ts
+++ b/packages/testkit/test/meeting-cases.test.ts
@@ -1,23 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobId, JobSpec } from '@spurbridge/wire';
+import type { JobSpec } from '@spurbridge/wire';
 import { formatSubmission } from '@spurbridge/wire';
 import type { World } from '../src/index.js';
-import { STATE_HOST, jobSpec, leaderIndex, smallWorld, watchLeaders } from '../src/index.js';
+import { STATE_HOST, jobId as id, jobSpec, judgedWorld as world, leaderIndex } from '../src/index.js';
 
 const CALM_MS = 40_000;
 const LEASE_MS = 12_000;
 
-const id = (n: number): JobId => `wk-${String(n).padStart(6, '0')}` as JobId;
-
-function world(seed: number, over: Parameters<typeof smallWorld>[1] = {}): World {
-  const w = smallWorld(seed, over);
-  watchLeaders(w, (at) => {
-    assert.fail(`two leaders at ${at}`);
-  });
-  return w;
-}
-
 /** A user's call at one node; its answer is judged like any other. */
 async function call(
   w: World,
