--- a/packages/controller/src/cluster.ts
+++ b/packages/controller/src/cluster.ts
@@ -192,7 +192,7 @@
     const machine = this.machines.get(p.machine);
     if (machine !== undefined) {
       machine.idleSince = null;
-      machine.isProven = true;
+      this.prove(machine);
     } else this.addMachine(p.machine, '', '', false);
   }
 
