--- a/packages/measure/src/state-loss.ts
+++ b/packages/measure/src/state-loss.ts
@@ -9,7 +9,7 @@
   ZONES,
   drawUsers,
   jobSpec,
-  leaderIndex,
+  leaderOrFirst,
   lose,
   machineType,
   smallWorld,
@@ -138,7 +138,7 @@
   if (part.loss !== 'nothing') lose(w, part.loss, LOSS_MS);
   if (part.left !== 'all nodes')
     w.time.after(LOSS_MS + 1, () => {
-      if (part.left === 'all but the leader') w.crash(Math.max(0, leaderIndex(w)));
+      if (part.left === 'all but the leader') w.crash(leaderOrFirst(w));
       else for (let i = 0; i < 3; i += 1) w.crash(i);
     });
   let missing = 0;
--- a/packages/testkit/src/drawn.ts
+++ b/packages/testkit/src/drawn.ts
@@ -37,7 +37,7 @@
 /** Jobs of every shape, at times drawn from the seed; some are cancelled. */
 export function drawJobs(w: World): { spec: JobSpec; at: number; cancelAt: number | null }[] {
   return Array.from({ length: 16 }, (_, i) => {
-    const id = `wk-${String(i).padStart(6, '0')}` as JobId;
+    const id = jobId(i);
     const kind = (['array', 'array', 'array', 'service', 'gang'] as const)[w.random(5)] ?? 'array';
     const at = w.random(70_000);
     const drawn = jobSpec({
--- a/packages/testkit/src/losses.ts
+++ b/packages/testkit/src/losses.ts
@@ -69,6 +69,11 @@
   return w.nodes.findIndex((n) => n.clock.alive && n.controller.leadership.holdsSurely());
 }
 
+/** The same, or the first node where none leads. */
+export function leaderOrFirst(w: World): number {
+  return Math.max(0, leaderIndex(w));
+}
+
 export function accompany(w: World, companion: Companion, loss: Loss, atMs: number): void {
   const at = (ms: number, run: () => void): void => {
     w.time.after(ms - w.time.now, run);
@@ -78,11 +83,11 @@
       return;
     case 'leader crashes':
       return at(atMs + 1, () => {
-        w.crash(Math.max(0, leaderIndex(w)));
+        w.crash(leaderOrFirst(w));
       });
     case 'takeover in the middle':
       at(atMs - 500, () => {
-        w.crash(Math.max(0, leaderIndex(w)));
+        w.crash(leaderOrFirst(w));
       });
       return;
     case 'twice':
--- a/packages/testkit/src/meetings.ts
+++ b/packages/testkit/src/meetings.ts
@@ -1,5 +1,6 @@
-import type { JobId, MachineId } from '@spurbridge/wire';
-import { CALM_MS, drawBackMs } from './drawn.js';
+import type { MachineId } from '@spurbridge/wire';
+import { CALM_MS, drawBackMs, jobId } from './drawn.js';
+import type { Faults } from './faults.js';
 import { jobSpec } from './fixtures.js';
 import { leaderIndex } from './losses.js';
 import { STATE_HOST } from './state.js';
@@ -16,9 +17,7 @@
   w.time.after(forMs, run);
 }
 
-type Share = 'lateWrites' | 'lostAnswers' | 'lateReports' | 'keptReports' | 'heldCommands';
-
-function share(of: Share | 'cancelsAtEnd' | 'closeLooks'): Trouble {
+function share(of: keyof Faults['counts']): Trouble {
   return (w, forMs) => {
     w.faults[of] = [0.1, 0.3, 0.7][w.random(3)] ?? 0.3;
     heal(w, forMs, () => {
@@ -72,7 +71,7 @@
   const first = w.checker.submitted.size;
   let n = 0;
   every(w, ONE_TASK_EVERY_MS, forMs, () => {
-    const id = `wk-${String(500_000 + first * 1000 + (n += 1)).padStart(6, '0')}` as JobId;
+    const id = jobId(500_000 + first * 1000 + (n += 1));
     const spec = jobSpec({ id, class: 'one-task', tasks: 1, cpus: 1, estimateS: 1 + w.random(4) });
     w.user(spec, w.random(4) === 0 ? w.time.now + w.random(4000) : null);
   });
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -1,6 +1,7 @@
 import type { Answer } from '@spurbridge/controller';
 import type { JobId, JobSpec } from '@spurbridge/wire';
 import { formatSubmission } from '@spurbridge/wire';
+import { jobId } from './drawn.js';
 import type { World } from './world.js';
 
 const USER_HOST = 'user';
@@ -143,7 +144,7 @@
     }
     const template = spec ?? known[0];
     if (template === undefined) return;
-    const id = `wk-9${String((this.odd += 1)).padStart(5, '0')}` as JobId;
+    const id = jobId(900_000 + (this.odd += 1));
     const odd = oddSubmissions({ ...template, id });
     const chosen = odd[w.random(odd.length)];
     const target = w.nodes[w.random(w.nodes.length)];
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -131,7 +131,7 @@
     return this.node % this.world.nodes.length;
   }
 
-  /** What is taken of the machine, also by tasks that fetch, by team. */
+  /** The tasks that take room on the machine, also those that fetch. */
   taken(): readonly { readonly job: JobSpec }[] {
     return [...this.tasks.values()].filter((t) => t.phase !== 'exited');
   }
