Workers and the cloud of the stand-ins serve simulated and real time

A worker's lease is looked at before each of its acts, not only every 100 ms: a process that stood still runs late timers in any order. No check is changed.

--- /dev/null
+++ b/packages/hollow/src/index.ts
@@ -0,0 +1,3 @@
+export * from './gangs.js';
+export * from './timeline.js';
+export * from './worker.js';
--- a/packages/testkit/src/worker.ts
+++ b/packages/hollow/src/worker.ts
@@ -11,10 +11,10 @@
   WorkerCommand,
   WorkerReport,
 } from '@spurbridge/wire';
-import type { RuleChecker } from './checker.js';
-import type { SimTime } from './clock.js';
+import type { GangRegistry } from './gangs.js';
+import type { Timeline } from './timeline.js';
 
-interface SimTask {
+interface HollowTask {
   readonly job: JobSpec;
   readonly task: number;
   readonly attempt: Attempt;
@@ -23,48 +23,69 @@
   saved: boolean;
 }
 
-/** What the tasks of one attempt of a gang know of each other. */
-export interface SimGang {
-  started: boolean;
-  /** The first stop that any of its tasks was told of, and which were. */
-  haltAt: number | null;
-  readonly told: Set<number>;
-  readonly saved: Set<number>;
-  /** All had saved when the first of them exited. */
-  safe: boolean;
-}
-
-export type SimAnswer =
+/** What a controller answers to a report. */
+export type ReportOutcome =
   | { readonly code: 200; readonly token: Token; readonly commands: readonly WorkerCommand[] }
   | { readonly code: 421; readonly leader: string }
   | { readonly code: 503 };
 
-export interface WorkerWorld {
-  readonly time: SimTime;
-  readonly checker: RuleChecker;
+/** Where a task was started. */
+export interface StartedAt {
+  readonly machine: MachineId;
+  readonly zone: string;
+  readonly type: string;
+  readonly spot: boolean;
+}
+
+/** Told of what happens to tasks on a worker. */
+export interface TaskObserver {
+  /** The task has its image and is on the machine from now on. */
+  started(job: JobSpec, task: number, attempt: Attempt, at: StartedAt): void;
+  /** The task is off the machine; by `atMs` at the latest, where that is before now. */
+  left(job: JobId, task: number, machine: MachineId, isDone: boolean, atMs?: number): void;
+  /** All tasks of a gang are done at once. */
+  completed(job: JobSpec, attempt: Attempt): void;
+  /** Whether the task was done before: its result is kept. */
+  isDone(job: JobId, task: number): boolean;
+  /** Tasks that ended with a lease that nobody renewed. */
+  killedByLease: number;
+}
+
+/** What a worker needs of the world that it is in. */
+export interface WorkerHost {
+  readonly time: Timeline;
+  readonly observer: TaskObserver;
+  /** Names or addresses of the controller nodes. */
   readonly nodes: readonly string[];
   readonly reportMs: number;
   readonly leaseMs: number;
+  readonly gangWaitMs: number;
+  readonly gangPeerMs: number;
+  readonly gangs: GangRegistry;
   readonly random: (below: number) => number;
+  /** The description of a job; undefined: no such job. */
   job(id: JobId): JobSpec | undefined;
+  /** Whether this run of the task ends with an error. */
   readonly fails: (job: JobSpec, task: number) => boolean;
+  /** How long the task runs, in milliseconds. */
   runMs(job: JobSpec, task: number): number;
-  readonly gangWaitMs: number;
-  readonly gangPeerMs: number;
-  /** Gang mates that wait, run or save under the same attempt on machines that do not hang. */
-  mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[];
-  gang(job: JobSpec, attempt: Attempt): SimGang;
-  report(worker: SimWorker, node: string, report: WorkerReport): Promise<SimAnswer | null>;
+  /** The address at which the worker takes direct commands. */
+  addressOf(id: MachineId): string;
+  /** Sends a report to a node; null: no answer in time. */
+  report(worker: HollowWorker, node: string, report: WorkerReport): Promise<ReportOutcome | null>;
 }
 
-/** Stand-in of a worker: tokens, sessions, its lease, and tasks that run for a simulated time. */
-export class SimWorker {
+/**
+ * A worker without real tasks: it keeps the protocol's tokens, sessions, lease, images and gangs, and its tasks are timers.
+ * The same code runs under simulated time and on the machine's own clock.
+ */
+export class HollowWorker {
   private session = 1;
   private seq = 0;
   private token = 0;
   private node = 0;
   private leaseFrom: number;
-  private tasks = new Map<string, SimTask>();
+  private tasks = new Map<string, HollowTask>();
   private readonly images = new Set<string>();
   private hanging = false;
   private readonly whenResumed: (() => void)[] = [];
@@ -80,42 +101,42 @@
     readonly type: MachineType,
     readonly zone: string,
     readonly spot: boolean,
-    private readonly world: WorkerWorld,
+    private readonly host: WorkerHost,
   ) {
-    this.leaseFrom = world.time.now;
+    this.leaseFrom = host.time.now;
     this.tick();
     this.reportLoop();
   }
 
   private get now(): number {
-    return this.world.time.now;
+    return this.host.time.now;
   }
 
   /** Checks the lease; a hanging machine does so as soon as it resumes. */
   private tick(): void {
     if (!this.alive) return;
-    if (!this.hanging && this.now - this.leaseFrom > this.world.leaseMs) {
-      this.expire();
-    }
-    this.world.time.after(100, () => {
+    if (!this.hanging) this.checkLease();
+    this.host.time.after(100, () => {
       this.tick();
     });
   }
 
-  private clear(): number {
+  private clear(atMs: number): number {
     let running = 0;
     for (const t of this.tasks.values())
       if (t.phase !== 'exited') {
         running += 1;
-        this.world.checker.left(t.job.id, t.task, this.id, false);
+        this.host.observer.left(t.job.id, t.task, this.id, false, atMs);
       }
     this.tasks.clear();
     return running;
   }
 
-  /** The lease is over: everything here is killed and forgotten. */
-  private expire(): void {
-    this.world.checker.killedByLease += this.clear();
+  /** Ends the session when the lease is over: everything here is killed and forgotten. */
+  private checkLease(): void {
+    const endedAt = this.leaseFrom + this.host.leaseMs;
+    if (this.now <= endedAt) return;
+    this.host.observer.killedByLease += this.clear(endedAt);
     this.session += 1;
     this.seq = 0;
     this.leaseFrom = this.now;
@@ -128,7 +149,7 @@
 
   /** Index of the node that it reports to, in the order of the nodes' names. */
   get reportsTo(): number {
-    return this.node % this.world.nodes.length;
+    return this.node % this.host.nodes.length;
   }
 
   /** The tasks that take room on the machine, also those that fetch. */
@@ -138,7 +159,7 @@
 
   die(): void {
     this.alive = false;
-    this.clear();
+    this.clear(this.now);
   }
 
   hang(): void {
@@ -152,23 +173,26 @@
   resume(): void {
     this.hanging = false;
     // The lease is looked at first: what it ended must not act any more.
-    if (this.now - this.leaseFrom > this.world.leaseMs) {
-      this.expire();
-    }
+    this.checkLease();
     for (const act of this.whenResumed.splice(0)) act();
   }
 
   private act(run: () => void): void {
     if (!this.alive) return;
-    if (this.hanging) this.whenResumed.push(run);
-    else run();
+    if (this.hanging) {
+      this.whenResumed.push(run);
+      return;
+    }
+    // A process that stood still runs its late timers in any order: what the lease ended must not act any more.
+    this.checkLease();
+    run();
   }
 
   makeReport(): WorkerReport {
     this.seq += 1;
     return {
       machine: this.id,
-      address: this.id,
+      address: this.host.addressOf(this.id),
       type: this.type.name,
       zone: this.zone,
       spot: this.spot,
@@ -190,7 +214,7 @@
   private reportLoop(): void {
     if (!this.alive) return;
     this.reportNow();
-    this.world.time.after(this.world.reportMs * (0.75 + this.world.random(50) / 100), () => {
+    this.host.time.after(this.host.reportMs * (0.75 + this.host.random(50) / 100), () => {
       this.reportLoop();
     });
   }
@@ -198,7 +222,7 @@
   /** Something changed: report soon, but no more often than every half second. */
   private changed(): void {
     const wait = Math.max(0, this.lastReport + 500 - this.now);
-    this.world.time.after(wait, () => {
+    this.host.time.after(wait, () => {
       if (this.alive && this.now - this.lastReport >= 499) this.reportNow();
     });
   }
@@ -209,18 +233,18 @@
     this.lastReport = this.now;
     const sentAt = this.now;
     const { session } = this;
-    const node = this.world.nodes[this.node % this.world.nodes.length] as string;
-    void this.world.report(this, node, this.makeReport()).then((answer) => {
+    const node = this.host.nodes[this.node % this.host.nodes.length] as string;
+    void this.host.report(this, node, this.makeReport()).then((answer) => {
       this.act(() => {
         this.reporting = false;
         // An answer that comes after four seconds, or for an earlier session, is dropped.
         if (answer === null || this.now - sentAt > 4000) this.nextNode();
         else if (answer.code === 421) {
-          const named = this.world.nodes.indexOf(answer.leader);
-          if (named < 0 || named === this.node % this.world.nodes.length) this.nextNode();
+          const named = this.host.nodes.indexOf(answer.leader);
+          if (named < 0 || named === this.node % this.host.nodes.length) this.nextNode();
           else {
             this.node = named;
-            this.world.time.after(this.world.random(500), () => {
+            this.host.time.after(this.host.random(500), () => {
               this.reportNow();
             });
           }
@@ -236,7 +260,7 @@
 
   private nextNode(): void {
     this.node += 1;
-    this.world.time.after(1000, () => {
+    this.host.time.after(1000, () => {
       this.reportNow();
     });
   }
@@ -277,11 +301,11 @@
 
   private start(id: JobId, task: number, attempt: Attempt): void {
     const name = `${id}/${task}`;
-    const job = this.world.job(id);
+    const job = this.host.job(id);
     const old = this.tasks.get(name);
     if (old?.attempt === attempt || job === undefined) return;
     if (old !== undefined && old.phase !== 'exited') return;
-    const t: SimTask = { job, task, attempt, phase: 'fetching', cause: null, saved: false };
+    const t: HollowTask = { job, task, attempt, phase: 'fetching', cause: null, saved: false };
     let { cpus, gpus, memoryGb } = job;
     for (const o of this.tasks.values())
       if (o.phase !== 'exited') {
@@ -290,7 +314,7 @@
         memoryGb += o.job.memoryGb;
       }
     this.tasks.set(name, t);
-    if (job.kind === 'gang') this.world.gang(job, attempt);
+    if (job.kind === 'gang') this.host.gangs.attempt(job, attempt);
     this.changed();
     const { type } = this;
     if (cpus > type.cpus + 1e-6 || gpus > type.gpus + 1e-6 || memoryGb > type.memoryGb + 1e-6) {
@@ -299,33 +323,33 @@
       return;
     }
     const fetchMs = this.images.has(job.image) ? 5 : (job.imageGb / this.type.fetchGbPerS) * 1000;
-    this.world.time.after(fetchMs, () => {
+    this.host.time.after(fetchMs, () => {
       this.act(() => {
         if (this.tasks.get(name) === t && t.phase === 'fetching') this.begin(t);
       });
     });
   }
 
-  private begin(t: SimTask): void {
+  private begin(t: HollowTask): void {
     this.images.add(t.job.image);
-    this.world.checker.started(t.job, t.task, t.attempt, {
+    this.host.observer.started(t.job, t.task, t.attempt, {
       machine: this.id,
       zone: this.zone,
       type: this.type.name,
       spot: this.spot,
     });
     if (this.faulty) this.end(t, 'error');
-    else if (this.world.checker.isDone(t.job.id, t.task)) this.end(t, 'done');
+    else if (this.host.observer.isDone(t.job.id, t.task)) this.end(t, 'done');
     else if (t.job.kind === 'gang') {
       t.phase = 'waiting';
       this.changed();
-      const gang = this.world.gang(t.job, t.attempt);
-      const mates = this.world.mates(t.job, t.attempt);
+      const gang = this.host.gangs.attempt(t.job, t.attempt);
+      const mates = this.host.gangs.members(t.job, t.attempt);
       if (mates.length === t.job.tasks && !gang.started) {
         gang.started = true;
         for (const m of mates) m.worker.runTask(t.job, m.task);
       }
-      this.world.time.after(this.world.gangWaitMs, () => {
+      this.host.time.after(this.host.gangWaitMs, () => {
         this.act(() => {
           if (t.phase === 'waiting') this.end(t, 'alone');
         });
@@ -343,31 +367,32 @@
     t.phase = 'running';
     this.changed();
     if (job.kind === 'service') return;
-    this.world.time.after(this.world.runMs(job, job.kind === 'gang' ? 0 : task), () => {
+    this.host.time.after(this.host.runMs(job, job.kind === 'gang' ? 0 : task), () => {
       this.act(() => {
         // What was cleared with an earlier session completes nothing.
         if (t.phase !== 'running' || this.tasks.get(`${job.id}/${task}`) !== t) return;
-        if (job.kind === 'gang' && !this.world.checker.isDone(job.id, task)) {
-          if (this.world.mates(job, t.attempt).length < job.tasks) return this.end(t, 'peers');
-          this.world.checker.completed(job, t.attempt);
+        if (job.kind === 'gang' && !this.host.observer.isDone(job.id, task)) {
+          if (this.host.gangs.members(job, t.attempt).length < job.tasks) return this.end(t, 'peers');
+          this.host.observer.completed(job, t.attempt);
         }
-        this.end(t, this.world.fails(job, task) ? 'error' : 'done');
+        this.end(t, this.host.fails(job, task) ? 'error' : 'done');
       });
     });
     if (job.kind === 'gang') this.watchMates(t);
   }
 
   /** A task of a running gang that lost another, or was not told of a stop in time, exits. */
-  private watchMates(t: SimTask): void {
-    const { haltAt } = this.world.gang(t.job, t.attempt);
-    const untilStop = haltAt === null ? Infinity : haltAt + this.world.gangPeerMs - this.now;
-    this.world.time.after(Math.max(1, Math.min(this.world.gangPeerMs / 2, untilStop)), () => {
+  private watchMates(t: HollowTask): void {
+    const { haltAt } = this.host.gangs.attempt(t.job, t.attempt);
+    const untilStop = haltAt === null ? Infinity : haltAt + this.host.gangPeerMs - this.now;
+    this.host.time.after(Math.max(1, Math.min(this.host.gangPeerMs / 2, untilStop)), () => {
       this.act(() => {
         if (t.phase !== 'running') return;
-        const gang = this.world.gang(t.job, t.attempt);
-        const late = gang.haltAt !== null && this.now >= gang.haltAt + this.world.gangPeerMs;
-        if (this.world.checker.isDone(t.job.id, t.task)) this.end(t, 'done');
-        else if (!late && this.world.mates(t.job, t.attempt).length === t.job.tasks) this.watchMates(t);
+        const gang = this.host.gangs.attempt(t.job, t.attempt);
+        const late = gang.haltAt !== null && this.now >= gang.haltAt + this.host.gangPeerMs;
+        if (this.host.observer.isDone(t.job.id, t.task)) this.end(t, 'done');
+        else if (!late && this.host.gangs.members(t.job, t.attempt).length === t.job.tasks)
+          this.watchMates(t);
         else this.end(t, 'peers');
       });
     });
@@ -380,34 +405,34 @@
   }
 
   /** An orderly stop holds only if every task of the gang hears of it within `gang_peer_s` of the first. */
-  private saveGang(t: SimTask): void {
-    const gang = this.world.gang(t.job, t.attempt);
+  private saveGang(t: HollowTask): void {
+    const gang = this.host.gangs.attempt(t.job, t.attempt);
     gang.haltAt ??= this.now;
     gang.told.add(t.task);
-    this.world.time.after(t.job.saveS * 1000, () => {
+    this.host.time.after(t.job.saveS * 1000, () => {
       this.act(() => {
         if (t.phase !== 'saving') return;
         gang.saved.add(t.task);
-        const mates = this.world.mates(t.job, t.attempt);
+        const mates = this.host.gangs.members(t.job, t.attempt);
         if (gang.saved.size < t.job.tasks || mates.length < t.job.tasks) return;
         gang.safe = true;
         for (const m of mates) m.worker.finishSave(t.job, m.task);
       });
     });
-    this.world.time.after(Math.max(0, gang.haltAt + this.world.gangPeerMs - this.now), () => {
+    this.host.time.after(Math.max(0, gang.haltAt + this.host.gangPeerMs - this.now), () => {
       this.act(() => {
         if (t.phase === 'saving' && gang.told.size < t.job.tasks) this.end(t, 'stopped');
       });
     });
     // A task that was told but is lost before it has saved leaves the others with nothing to wait for.
-    this.world.time.after(t.job.saveS * 1000 + 2 * this.world.gangPeerMs, () => {
+    this.host.time.after(t.job.saveS * 1000 + 2 * this.host.gangPeerMs, () => {
       this.act(() => {
         if (t.phase === 'saving') this.end(t, 'stopped');
       });
     });
   }
 
-  private stop(t: SimTask, graceS: number): void {
+  private stop(t: HollowTask, graceS: number): void {
     if (t.phase === 'exited') return;
     const saves = t.phase === 'running' && t.job.checkpointS > 0 && graceS >= t.job.saveS;
     if (!saves) {
@@ -421,20 +446,20 @@
       this.saveGang(t);
       return;
     }
-    this.world.time.after(t.job.saveS * 1000, () => {
+    this.host.time.after(t.job.saveS * 1000, () => {
       this.act(() => {
         if (t.phase === 'saving') this.end(t, 'stopped', true);
       });
     });
   }
 
-  private end(t: SimTask, cause: ExitCause, saved = false): void {
+  private end(t: HollowTask, cause: ExitCause, saved = false): void {
     // What was cleared with an earlier session has ended already.
     if (this.tasks.get(`${t.job.id}/${t.task}`) !== t || t.phase === 'exited') return;
     t.phase = 'exited';
     t.cause = cause;
     t.saved = saved;
-    this.world.checker.left(t.job.id, t.task, this.id, cause === 'done');
+    this.host.observer.left(t.job.id, t.task, this.id, cause === 'done');
     this.changed();
   }
 }
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -41,6 +41,39 @@
 
 const EPSILON = 1e-6;
 
+/** Tasks on machines, grouped: a fleet of thousands is not searched for each start. */
+class Index<Group extends string> {
+  private readonly groups = new Map<Group, Map<string, On>>();
+
+  set(group: Group, name: string, on: On): void {
+    const found = this.groups.get(group);
+    if (found === undefined) this.groups.set(group, new Map([[name, on]]));
+    else found.set(name, on);
+  }
+
+  delete(group: Group, name: string): void {
+    const found = this.groups.get(group);
+    found?.delete(name);
+    if (found?.size === 0) this.groups.delete(group);
+  }
+
+  of(group: Group): On[] {
+    return [...(this.groups.get(group)?.values() ?? [])];
+  }
+
+  get(group: Group, name: string): On | undefined {
+    return this.groups.get(group)?.get(name);
+  }
+
+  count(group: Group): number {
+    return this.groups.get(group)?.size ?? 0;
+  }
+
+  *all(): Generator<On> {
+    for (const group of this.groups.values()) yield* group.values();
+  }
+}
+
 interface Answers {
   readonly given: number;
   readonly refused: number;
@@ -50,6 +83,10 @@
 /** The same once all troubles are over, however others fare. */
 const FORGOTTEN_CALM_MS = 75_000;
 
+function nameOf(machine: MachineId, job: JobId, task: number): string {
+  return `${machine}:${job}/${task}`;
+}
+
 function whoOf(spec: JobSpec): string[] {
   return [`class ${spec.class}`, `team ${spec.team}`];
 }
@@ -64,7 +101,9 @@
   private readonly toldDone = new Map<JobId, number>();
   private readonly askedCancel = new Set<JobId>();
   private readonly doneTasks = new Map<JobId, Set<number>>();
-  private readonly on = new Map<string, On>();
+  /** What is on machines now: by job and by team, each under the machine's and the task's name. */
+  private readonly onByJob = new Index<JobId>();
+  private readonly onByTeam = new Index<string>();
   /** When users were told something new of each job: that it is accepted, done or cancelled. */
   private readonly news = new Map<string, number[]>();
   /** Since when no poll for a job was answered, and how many others were by then. */
@@ -114,9 +153,9 @@
     if (this.isDone(job.id, task)) this.startsOfDone += 1;
     if (this.toldCancelled.has(job.id)) this.startsOfCancelled += 1;
     const name = `${job.id}/${task}`;
-    const other = [...this.on.values()].find((o) => o.job.id === job.id && o.task === task);
+    const mates = this.onByJob.of(job.id);
+    const other = mates.find((o) => o.task === task);
     if (other !== undefined) this.breaks('ran_twice', `${name} on ${other.machine} and ${machine.machine}`);
-    const mates = [...this.on.values()].filter((o) => o.job.id === job.id);
     const here = mates.filter((o) => o.zone === machine.zone).length;
     if (
       (job.types !== null && !job.types.includes(machine.type)) ||
@@ -126,32 +165,35 @@
       (job.spread && here + 1 > Math.ceil(job.tasks / 2))
     )
       this.breaks('wrong_place', `${name} on ${machine.machine}`);
-    this.on.set(`${machine.machine}:${name}`, {
-      job,
-      task,
-      attempt,
-      machine: machine.machine,
-      zone: machine.zone,
-      sinceMs: this.now(),
-    });
+    const { machine: id, zone } = machine;
+    this.put({ job, task, attempt, machine: id, zone, sinceMs: this.now() });
     const team = this.teams.find((t) => t.name === job.team);
     let cpus = 0;
     let gpus = 0;
-    for (const o of this.on.values())
-      if (o.job.team === job.team) {
-        cpus += o.job.cpus;
-        gpus += o.job.gpus;
-      }
+    for (const o of this.onByTeam.of(job.team)) {
+      cpus += o.job.cpus;
+      gpus += o.job.gpus;
+    }
     if (team === undefined || cpus > team.cpusMax + EPSILON || gpus > team.gpusMax + EPSILON)
       this.breaks('quota', `${job.team} uses ${cpus} CPUs`);
     this.checkCancelled(job.id);
   }
 
+  private put(on: On): void {
+    const name = nameOf(on.machine, on.job.id, on.task);
+    this.onByJob.set(on.job.id, name, on);
+    this.onByTeam.set(on.job.team, name, on);
+  }
+
+  /** The task is off the machine. */
   left(job: JobId, task: number, machine: MachineId, done: boolean): void {
-    const name = `${machine}:${job}/${task}`;
-    const on = this.on.get(name);
-    if (on !== undefined) this.onRun?.({ ...on, untilMs: this.now(), done });
-    this.on.delete(name);
+    const name = nameOf(machine, job, task);
+    const on = this.onByJob.get(job, name);
+    if (on !== undefined) {
+      this.onRun?.({ ...on, untilMs: this.now(), done });
+      this.onByJob.delete(job, name);
+      this.onByTeam.delete(on.job.team, name);
+    }
     if (!done) return;
     const tasks = this.doneTasks.get(job) ?? new Set();
     this.doneTasks.set(job, tasks.add(task));
@@ -168,7 +210,7 @@
 
   /** A gang completes together: if one task is done, all are. */
   completed(job: JobSpec, attempt: Attempt): void {
-    const there = [...this.on.values()].filter((o) => o.job.id === job.id && o.attempt === attempt);
+    const there = this.onByJob.of(job.id).filter((o) => o.attempt === attempt);
     if (there.length < job.tasks && !this.isDone(job.id, 0))
       this.breaks('gang_split', `${job.id} was done with ${there.length} of ${job.tasks} tasks`);
     this.doneTasks.set(job.id, new Set(Array.from({ length: job.tasks }, (_, task) => task)));
@@ -182,8 +224,7 @@
   private checkCancelled(job: JobId): void {
     const told = this.toldCancelled.get(job);
     if (told === undefined || this.now() <= told + this.cancelMs) return;
-    for (const o of this.on.values())
-      if (o.job.id === job) this.breaks('ran_cancelled', `${job}/${o.task} on ${o.machine}`);
+    for (const o of this.onByJob.of(job)) this.breaks('ran_cancelled', `${job}/${o.task} on ${o.machine}`);
   }
 
   /** Called once in a while: tasks that stay on a machine break rules without anything happening. */
@@ -208,8 +249,6 @@
     const now = this.now();
     const passedS = (now - this.sweptAt) / 1000;
     this.sweptAt = now;
-    const running = new Map<JobId, number>();
-    for (const o of this.on.values()) running.set(o.job.id, (running.get(o.job.id) ?? 0) + 1);
     for (const [id, life] of this.lives) {
       const spec = this.submitted.get(id);
       if (spec?.kind !== 'service' || life.cancelMs !== null) continue;
@@ -218,7 +257,7 @@
         const sum = this.replicas.get(who) ?? { wantedS: 0, ranS: 0 };
         this.replicas.set(who, sum);
         sum.wantedS += runnable(spec) * passedS;
-        sum.ranS += Math.min(runnable(spec), running.get(id) ?? 0) * passedS;
+        sum.ranS += Math.min(runnable(spec), this.countOf(id)) * passedS;
       }
     }
   }
@@ -286,9 +325,7 @@
 
   /** Tasks of the job that are on machines now. */
   countOf(id: JobId): number {
-    let count = 0;
-    for (const o of this.on.values()) if (o.job.id === id) count += 1;
-    return count;
+    return this.onByJob.count(id);
   }
 
   /** A job waits for so long though it could run. */
@@ -299,7 +336,7 @@
   /** Tasks of the kind that are on machines now. */
   countOn(kind: JobSpec['kind']): number {
     let count = 0;
-    for (const o of this.on.values()) if (o.job.kind === kind) count += 1;
+    for (const o of this.onByJob.all()) if (o.job.kind === kind) count += 1;
     return count;
   }
 
--- a/packages/testkit/src/losses.ts
+++ b/packages/testkit/src/losses.ts
@@ -127,7 +127,7 @@
 
 /** From now on a node reads a store of its own, as it was at the point. */
 export function fork(w: World, index: number, point: Checkpoint): SimState {
-  const other = new SimState(w.time, w.network, { rps: 1000, writeRps: 1000, valueKb: 16, txnOps: 12 });
+  const other = new SimState(w.time, { rps: 1000, writeRps: 1000, valueKb: 16, txnOps: 12 });
   other.restore(point);
   const node = w.nodes[index];
   if (node !== undefined) node.store.state = other;
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -18,7 +18,8 @@
   Version,
   WatchEvent,
 } from '@spurbridge/wire';
-import type { ProcessClock, SimTime } from './clock.js';
+import type { Timeline } from '@spurbridge/hollow';
+import type { ProcessClock } from './clock.js';
 import type { SimNetwork } from './network.js';
 
 export interface StateLimits {
@@ -58,6 +59,8 @@
   private readonly entries = new Map<string, Entry>();
   private readonly leases = new Map<number, { ttl: number; ends: number }>();
   private readonly log: WatchEvent[] = [];
+  /** Changes up to this revision are no longer kept. */
+  private droppedUpTo = 0;
   private waiters: { prefix: string; after: number; wake: () => void }[] = [];
   private revision = 0;
   private nextLease = 1;
@@ -68,8 +71,7 @@
   private refilledAt = 0;
 
   constructor(
-    readonly time: SimTime,
-    readonly network: SimNetwork,
+    readonly time: Timeline,
     private readonly limits: StateLimits,
     readonly faults: StateFaults = NO_FAULTS,
   ) {
@@ -156,6 +158,17 @@
     return found.reverse();
   }
 
+  /** Whether the changes after this revision are still kept. */
+  keepsSince(after: number): boolean {
+    return after >= this.droppedUpTo;
+  }
+
+  /** Drops all but the latest changes; who asks for earlier ones has to read the keys again. */
+  keepLatest(changes: number): void {
+    const dropped = this.log.splice(0, Math.max(0, this.log.length - changes));
+    this.droppedUpTo = dropped.at(-1)?.version ?? this.droppedUpTo;
+  }
+
   /** Wakes the caller once; given up after `mostMs`, or watches of a whole night would be held for good. */
   wait(prefix: string, after: number, mostMs: number, wake: () => void): void {
     const waiter = { prefix, after, wake };
@@ -345,6 +358,7 @@
   constructor(
     /** Another one from now on, where a node reads another store than its peers. */
     public state: SimState,
+    private readonly network: SimNetwork,
     private readonly host: string,
     private readonly clock: ProcessClock,
   ) {}
@@ -361,7 +375,7 @@
     handle: () => T | null,
     changes = 0,
   ): Promise<T | { readonly outcome: 'refused' | 'unknown' }> {
-    const answer = await this.state.network.call<T | { readonly outcome: 'refused' }>(
+    const answer = await this.network.call<T | { readonly outcome: 'refused' }>(
       this.host,
       STATE_HOST,
       ANSWER_MS,
--- a/packages/testkit/src/waiting.ts
+++ b/packages/testkit/src/waiting.ts
@@ -1,6 +1,6 @@
 import { EPSILON } from '@spurbridge/model';
 import type { JobId, JobSpec } from '@spurbridge/wire';
-import type { SimWorker } from './worker.js';
+import type { HollowWorker } from '@spurbridge/hollow';
 import type { World } from './world.js';
 
 /** Once all troubles are over no job waits for so long though it could run, in milliseconds. */
@@ -8,7 +8,7 @@
 const LOOK_MS = 1000;
 
 /** How many tasks of the job still fit on the machine, by what is taken of it. */
-function roomOn(x: SimWorker, spec: JobSpec): number {
+function roomOn(x: HollowWorker, spec: JobSpec): number {
   const isAllowed =
     x.alive &&
     !x.hangs &&
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -5,10 +5,8 @@
 import { GuardedStore } from '@spurbridge/recovery';
 import { decodeJob } from '@spurbridge/model';
 import type {
-  Attempt,
   JobId,
   JobSpec,
-  ListedMachine,
   MachineId,
   MachineType,
   NodeId,
@@ -26,12 +24,13 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { RuleChecker } from './checker.js';
 import { ProcessClock, SimTime } from './clock.js';
+import { SimCloud } from './cloud.js';
 import { Faults } from './faults.js';
 import { SimNetwork } from './network.js';
 import type { StateLimits } from './state.js';
 import { SimState, SimStore, STATE_HOST } from './state.js';
-import type { SimAnswer, SimGang } from './worker.js';
-import { SimWorker } from './worker.js';
+import type { ReportOutcome, WorkerHost } from '@spurbridge/hollow';
+import { GangRegistry, HollowWorker } from '@spurbridge/hollow';
 import { USUAL_POLL_MS, Users } from './users.js';
 
 export const CLOUD_HOST = 'cloud';
@@ -95,17 +94,10 @@
   readonly faults: Faults;
   readonly checker: RuleChecker;
   readonly users: Users;
-  readonly workers = new Map<MachineId, SimWorker>();
+  readonly workers = new Map<MachineId, HollowWorker>();
   readonly nodes: SimNode[] = [];
   private readonly generator;
-  private readonly requests = new Map<string, readonly MachineId[]>();
-  private readonly requesters = new Map<string, string>();
-  /** Names of rental requests that one process took after another had used them. */
-  readonly reusedNames: string[] = [];
-  private readonly listing: { at: number; id: MachineId; machine: Omit<ListedMachine, 'ageS' | 'phase'> }[] =
-    [];
-  private readonly goneAt = new Map<MachineId, number>();
-  private machines = 0;
+  private readonly cloud: SimCloud;
   private incarnations = 0;
   private ids = 0;
 
@@ -113,7 +105,19 @@
     this.generator = xoroshiro128plus(o.seed);
     this.network = new SimNetwork(this.time, (below) => this.random(below));
     this.faults = new Faults((below) => this.random(below), o.leaseS * 1000);
-    this.state = new SimState(this.time, this.network, o.stateLimits ?? AMPLE, this.faults);
+    this.state = new SimState(this.time, o.stateLimits ?? AMPLE, this.faults);
+    this.cloud = new SimCloud(this.time, {
+      types: o.types,
+      capacity: o.capacity,
+      listLagMs: LIST_LAG_MS,
+      random: (below) => this.random(below),
+      bootMs: (type) => this.faults.bootMs(type.bootS * (600 + this.random(900))),
+      up: (id, type, zone, spot) => {
+        this.addWorker(id, type, zone, spot);
+      },
+      ended: (id) => this.workers.get(id)?.die(),
+      isUp: (id) => this.workers.has(id),
+    });
     this.checker = new RuleChecker(() => this.time.now, o.teams, o.cancelS * 1000);
     this.checker.onComplete = (spec) => {
       if (this.faults.happens('cancelsAtEnd')) this.users.cancelNow(spec);
@@ -125,6 +129,11 @@
     }
   }
 
+  /** Names of rental requests that one process took after another had used them. */
+  get reusedNames(): readonly string[] {
+    return this.cloud.reusedNames;
+  }
+
   private zoneOf(index: number): string {
     return this.o.zones[index % this.o.zones.length] as string;
   }
@@ -172,7 +181,7 @@
 
   private boot(name: NodeId, zone: string): SimNode {
     const clock = new ProcessClock(this.time, 1 + this.random(5) / 10_000, this.random(1_000_000));
-    const store = new SimStore(this.state, name, clock);
+    const store = new SimStore(this.state, this.network, name, clock);
     const log = this.o.log ?? silent;
     const wallNow = (): WallMs => (this.wallStart + this.time.now + this.random(20)) as WallMs;
     const settings = this.settings(name, zone);
@@ -335,87 +344,32 @@
   private cloudFor(host: string): Cloud {
     const by = `${host}-${this.incarnations}`;
     return {
-      types: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.o.types),
+      types: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.cloud.types),
       rent: async (q: RentalRequest): Promise<RentOutcome> =>
-        (await this.network.call<RentOutcome>(host, CLOUD_HOST, 4000, () => this.rent(q, by))) ?? {
+        (await this.network.call<RentOutcome>(host, CLOUD_HOST, 4000, () => this.cloud.rent(q, by))) ?? {
           outcome: 'unknown',
         },
       release: async (ids: readonly MachineId[]) =>
-        (await this.network.call(host, CLOUD_HOST, 4000, () => this.remove(ids))) === true,
-      list: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.list()),
+        (await this.network.call(host, CLOUD_HOST, 4000, () => this.cloud.release(ids))) === true,
+      list: async () => this.network.call(host, CLOUD_HOST, 4000, () => this.cloud.list()),
     };
   }
 
-  private rent(q: RentalRequest, host: string): RentOutcome {
-    const before = this.requests.get(q.request);
-    if (before !== undefined) {
-      if (this.requesters.get(q.request) !== host) this.reusedNames.push(q.request);
-      return { outcome: 'rented', machines: before };
-    }
-    const type = this.o.types.find((t) => t.name === q.type);
-    if (type === undefined) return { outcome: 'no_capacity' };
-    const held = this.listing.filter(
-      (l) =>
-        !this.goneAt.has(l.id) &&
-        l.machine.type === q.type &&
-        l.machine.zone === q.zone &&
-        l.machine.spot === q.spot,
-    ).length;
-    const count = Math.min(q.count, this.o.capacity - held);
-    if (count <= 0) return { outcome: 'no_capacity' };
-    const machines: MachineId[] = [];
-    for (let i = 0; i < count; i += 1) {
-      const id = `n-${String(this.machines++).padStart(6, '0')}` as MachineId;
-      machines.push(id);
-      this.listing.push({
-        at: this.time.now,
-        id,
-        machine: { id, address: id, type: q.type, zone: q.zone, spot: q.spot },
-      });
-      this.time.after(this.faults.bootMs(type.bootS * (600 + this.random(900))), () => {
-        if (this.goneAt.has(id)) return;
-        this.addWorker(id, type, q.zone, q.spot);
-      });
-    }
-    this.requests.set(q.request, machines);
-    this.requesters.set(q.request, host);
-    return { outcome: 'rented', machines };
-  }
-
   /** A machine is up from now on. */
   addWorker(id: MachineId, type: MachineType, zone: string, spot: boolean): void {
-    this.workers.set(id, new SimWorker(id, type, zone, spot, this.workerWorld()));
-  }
-
-  private remove(ids: readonly MachineId[]): true {
-    for (const id of ids) {
-      if (!this.goneAt.has(id)) this.goneAt.set(id, this.time.now);
-      this.workers.get(id)?.die();
-    }
-    return true;
+    this.workers.set(id, new HollowWorker(id, type, zone, spot, this.workerHost()));
   }
 
   takeBack(id: MachineId): void {
-    this.remove([id]);
-  }
-
-  private list(): ListedMachine[] {
-    const seen = this.time.now - LIST_LAG_MS - this.random(LIST_LAG_MS);
-    return this.listing
-      .filter((l) => l.at <= seen && (this.goneAt.get(l.id) ?? Infinity) > seen)
-      .map((l) => ({
-        ...l.machine,
-        phase: this.workers.has(l.id) ? ('running' as const) : ('booting' as const),
-        ageS: (seen - l.at) / 1000,
-      }));
+    this.cloud.release([id]);
   }
 
   // --- workers ---------------------------------------------------------------------------------
 
-  private workerWorld(): ConstructorParameters<typeof SimWorker>[4] {
+  private workerHost(): WorkerHost {
     return {
       time: this.time,
-      checker: this.checker,
+      observer: this.checker,
       nodes: this.nodes.map((n) => n.name),
       reportMs: 3000,
       leaseMs: this.o.leaseS * 1000,
@@ -425,8 +379,8 @@
       runMs: this.o.runMs ?? ((job, task) => job.estimateS * (600 + ((task * 7919) % 800))),
       gangWaitMs: (this.o.gangWaitS ?? GANG_WAIT_S) * 1000,
       gangPeerMs: GANG_PEER_S * 1000,
-      mates: (job, attempt) => this.mates(job, attempt),
-      gang: (job, attempt) => this.gangOf(job, attempt),
+      gangs: this.gangs,
+      addressOf: (id) => id,
       report: (worker, node, report) => this.report(worker, node, report),
     };
   }
@@ -439,45 +393,19 @@
     return record.graph === undefined ? undefined : record.spec;
   }
 
-  private readonly gangs = new Map<string, SimGang>();
+  private readonly gangs = new GangRegistry(() => this.workers.values());
 
   /** How many attempts of each gang reached a machine. */
   get attempts(): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const name of this.gangs.keys()) {
-      const job = name.slice(0, name.indexOf('#'));
-      counts.set(job, (counts.get(job) ?? 0) + 1);
-    }
-    return counts;
+    return this.gangs.attempts;
   }
 
   /** Attempts of gangs whose progress was saved by an orderly stop. */
   get savedGangs(): string[] {
-    return [...this.gangs].filter(([, g]) => g.safe).map(([name]) => name);
-  }
-
-  private gangOf(job: JobSpec, attempt: Attempt): SimGang {
-    const name = `${job.id}#${attempt}`;
-    let gang = this.gangs.get(name);
-    if (gang === undefined) {
-      gang = { started: false, haltAt: null, told: new Set(), saved: new Set(), safe: false };
-      this.gangs.set(name, gang);
-    }
-    return gang;
-  }
-
-  private mates(job: JobSpec, attempt: Attempt): { worker: SimWorker; task: number }[] {
-    const found: { worker: SimWorker; task: number }[] = [];
-    for (const worker of this.workers.values())
-      for (let task = 0; task < job.tasks && worker.alive && !worker.hangs; task += 1) {
-        const t = worker.attemptOf(job.id, task);
-        if (t?.attempt === attempt && t.phase !== 'fetching' && t.phase !== 'exited')
-          found.push({ worker, task });
-      }
-    return found;
+    return this.gangs.saved;
   }
 
-  private report(worker: SimWorker, node: string, report: WorkerReport): Promise<SimAnswer | null> {
+  private report(worker: HollowWorker, node: string, report: WorkerReport): Promise<ReportOutcome | null> {
     return new Promise((resolve) => {
       this.time.after(4000, () => {
         resolve(null);
--- a/packages/testkit/test/cancellations.test.ts
+++ b/packages/testkit/test/cancellations.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobId, MachineId } from '@spurbridge/wire';
-import type { SimWorker, World } from '../src/index.js';
+import type { HollowWorker } from '@spurbridge/hollow';
+import type { World } from '../src/index.js';
 import { jobSpec, leaderIndex, smallWorld, watchLeaders } from '../src/index.js';
 
 /** What `smallWorld` plays with. */
@@ -69,7 +70,7 @@
   });
 }
 
-function busyMachines(w: World): SimWorker[] {
+function busyMachines(w: World): HollowWorker[] {
   return [...w.workers.values()].filter((x) => x.alive && x.makeReport().tasks.length > 0);
 }
 
--- a/packages/testkit/test/hunt-cases.test.ts
+++ b/packages/testkit/test/hunt-cases.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobId, JobSpec } from '@spurbridge/wire';
-import type { SimWorker, World } from '../src/index.js';
+import type { HollowWorker } from '@spurbridge/hollow';
+import type { World } from '../src/index.js';
 import {
   cutZone,
   jobId as id,
@@ -47,7 +48,7 @@
   });
 }
 
-function aliveWorkers(w: World): SimWorker[] {
+function aliveWorkers(w: World): HollowWorker[] {
   return [...w.workers.values()].filter((x) => x.alive);
 }
 
--- a/packages/testkit/test/loss-cases.test.ts
+++ b/packages/testkit/test/loss-cases.test.ts
@@ -334,7 +334,7 @@
 function operator(w: World): StateTools {
   const clock = new ProcessClock(w.time, 1, 0);
   return {
-    raw: new SimStore(w.state, 'operator', clock),
+    raw: new SimStore(w.state, w.network, 'operator', clock),
     clock,
     wallNow: () => w.wallStart as never,
     valueKb: 16,
--- a/packages/testkit/test/moves.test.ts
+++ b/packages/testkit/test/moves.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobId, JobSpec, MachineType } from '@spurbridge/wire';
-import type { SimWorker } from '../src/index.js';
+import type { HollowWorker } from '@spurbridge/hollow';
 import {
   STATE_HOST,
   World,
@@ -80,7 +80,7 @@
   assert.ok(w.checker.killedByLease <= killed, `${w.checker.killedByLease} tasks killed by leases`);
 }
 
-const alive = (w: World): SimWorker[] => [...w.workers.values()].filter((x) => x.alive);
+const alive = (w: World): HollowWorker[] => [...w.workers.values()].filter((x) => x.alive);
 
 /** Runs until a node sheds machines: one that held none has come back. Fails where nothing moves. */
 async function untilMoving(w: World): Promise<number> {
