A scale run: the shipped program under load on loopback, with hollow workers

Cause: the operators plan for 2,700 workers and 820 task starts a second; what a region's part of that costs was known on paper only. Change: `measure -- scale` (package scale) starts controllers by the shipped start line, the stand-ins of state service and cloud over HTTP, workers without real tasks (a process a zone, three alone) and users in an open loop; reads processor time, memory, sockets, bytes and messages for each role; feeds the rule checker with all processes' events in order of the machine's clock. The wire package holds the other side of the workers', cloud's and state service's formats.

--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,3 +1,4 @@
+import { scaleCommand } from '@spurbridge/scale';
 import { Command } from 'commander';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
@@ -70,6 +71,7 @@
         : await m.part(JSON.parse(options.part));
     process.stdout.write(`${JSON.stringify(result)}\n`);
   })
+  .addCommand(scaleCommand())
   .parseAsync()
   .catch((e: unknown) => {
     process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
--- /dev/null
+++ b/packages/scale/src/index.ts
@@ -0,0 +1,5 @@
+export * from './command.js';
+export * from './events.js';
+export * from './options.js';
+export * from './results.js';
+export * from './workload.js';
--- /dev/null
+++ b/packages/scale/src/state-server.ts
@@ -0,0 +1,160 @@
+import { SteadyTimeline } from '@spurbridge/hollow';
+import { SimState } from '@spurbridge/testkit';
+import type { LeaseId, Revision, Version } from '@spurbridge/wire';
+import {
+  PATHS,
+  formatEvents,
+  formatFailed,
+  formatItem,
+  formatItems,
+  formatLease,
+  formatRevision,
+  parseCommit,
+  parseTtlMs,
+} from '@spurbridge/wire';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import { splitAddress } from './addresses.js';
+import type { Meter } from './child.js';
+import { obey, tell } from './child.js';
+import { jsonServer } from './json-server.js';
+import type { StateRole } from './messages.js';
+
+const KEPT_CHANGES = 10_000;
+const KEEP_EVERY_MS = 1000;
+const MOST_ITEMS = 1000;
+const MOST_WAIT_MS = 60_000;
+
+interface ListQuery {
+  readonly starts?: string;
+  readonly from?: string;
+  readonly most?: string;
+}
+
+interface FollowQuery {
+  readonly starts?: string;
+  readonly from?: string;
+  readonly blockMs?: string;
+}
+
+/** The stand-in of the state service over HTTP, with its limits. */
+export class StateServer {
+  readonly app: FastifyInstance = jsonServer();
+  private readonly state: SimState;
+
+  constructor(
+    role: Pick<StateRole, 'rps' | 'writeRps' | 'valueKb' | 'txnOps'>,
+    private readonly meter: Meter,
+  ) {
+    this.state = new SimState(new SteadyTimeline(), role);
+    setInterval(() => {
+      this.state.keepLatest(KEPT_CHANGES);
+    }, KEEP_EVERY_MS).unref();
+    this.routes();
+  }
+
+  private get revision(): Revision {
+    return this.state.now();
+  }
+
+  /** Whether the limits let a request with so many changes through; otherwise it was answered. */
+  private admits(reply: FastifyReply, changes: number): boolean {
+    const isAdmitted = this.state.admits(changes);
+    this.meter.count(isAdmitted ? 'requests' : 'refused');
+    if (isAdmitted) this.meter.count('changes', changes);
+    else void reply.code(429).send({ error: 'over the limit' });
+    return isAdmitted;
+  }
+
+  private routes(): void {
+    const { app } = this;
+    app.get<{ Params: { '*': string } }>(`${PATHS.keys}/*`, (request, reply) => {
+      if (this.admits(reply, 0)) this.read(decodeURIComponent(request.params['*']), reply);
+      return reply;
+    });
+    app.get<{ Querystring: ListQuery }>(PATHS.keys, (request, reply) => {
+      if (this.admits(reply, 0)) this.list(request.query, reply);
+      return reply;
+    });
+    app.post(PATHS.commit, (request, reply) => {
+      const { conditions, changes } = parseCommit(request.body);
+      if (!this.admits(reply, changes.length)) return reply;
+      const outcome = this.state.commit(conditions, changes);
+      switch (outcome.outcome) {
+        case 'committed':
+          return reply.send(formatRevision(outcome.revision));
+        case 'conflict':
+          this.meter.count('conflicts');
+          return reply.code(409).send(formatFailed(outcome.failed, outcome.revision));
+        default:
+          return reply.code(400).send({ error: 'no such lease' });
+      }
+    });
+    app.post(PATHS.leases, (request, reply) => {
+      if (!this.admits(reply, 0)) return reply;
+      const granted = this.state.grant(parseTtlMs(request.body));
+      return granted.outcome === 'granted'
+        ? reply.send(formatLease(granted.lease))
+        : reply.code(503).send({ error: 'not granted' });
+    });
+    app.post<{ Params: { id: string } }>(`${PATHS.leases}/:id/touch`, (request, reply) => {
+      if (!this.admits(reply, 0)) return reply;
+      const { outcome } = this.state.renew(Number(request.params.id));
+      return reply.code(outcome === 'renewed' ? 200 : 404).send({});
+    });
+    app.delete<{ Params: { id: string } }>(`${PATHS.leases}/:id`, (request, reply) => {
+      if (!this.admits(reply, 0)) return reply;
+      this.state.endLease(Number(request.params.id) as LeaseId);
+      return reply.send({});
+    });
+    app.get<{ Querystring: FollowQuery }>(PATHS.watch, (request, reply) => {
+      if (this.admits(reply, 0)) this.follow(request.query, reply);
+      return reply;
+    });
+  }
+
+  private read(key: string, reply: FastifyReply): void {
+    const found = this.state.read(key);
+    if (found.outcome === 'found') void reply.send(formatItem(found.item));
+    else void reply.code(404).send(formatRevision(this.revision));
+  }
+
+  private list(query: ListQuery, reply: FastifyReply): void {
+    const listed = this.state.list(query.starts ?? '');
+    if (listed.outcome !== 'listed') return;
+    const from = query.from ?? '';
+    const later = listed.items.filter((i) => i.key > from);
+    const most = Math.min(MOST_ITEMS, Number(query.most ?? MOST_ITEMS));
+    void reply.send(formatItems(later.slice(0, most), later.length > most, listed.revision));
+  }
+
+  private follow(query: FollowQuery, reply: FastifyReply): void {
+    const prefix = query.starts ?? '';
+    const from = Number(query.from ?? 0) as Version;
+    const answer = (): void => {
+      if (this.state.keepsSince(from))
+        void reply.send(formatEvents(this.revision, this.state.since(prefix, from)));
+      else void reply.code(410).send({ error: 'too old' });
+    };
+    const waitMs = Math.min(MOST_WAIT_MS, Number(query.blockMs ?? 0));
+    if (waitMs === 0 || !this.state.keepsSince(from) || this.state.since(prefix, from).length > 0) {
+      answer();
+      return;
+    }
+    let isAnswered = false;
+    this.state.wait(prefix, from, waitMs, () => {
+      if (isAnswered) return;
+      isAnswered = true;
+      answer();
+    });
+  }
+}
+
+/** A process that is the state service of one region. */
+export async function runState(role: StateRole, meter: Meter): Promise<void> {
+  const server = new StateServer(role, meter);
+  await server.app.listen(splitAddress(role.listen));
+  obey((order) => {
+    if (order.order === 'read') tell({ notice: 'reading', reading: meter.read() });
+  });
+  tell({ notice: 'ready' });
+}
--- /dev/null
+++ b/packages/scale/src/tally.ts
@@ -0,0 +1,99 @@
+import { DDSketch } from '@datadog/sketches-js';
+import type { JobId, JobSpec } from '@spurbridge/wire';
+import { summary } from './child.js';
+import type { RunEvent } from './events.js';
+import type { LatencySummary } from './messages.js';
+import { RUN_SETTINGS } from './controller-settings.js';
+
+const EMPTY: LatencySummary = { count: 0, p50: 0, p99: 0, most: 0 };
+
+/** Counts starts and the waits of urgent tasks over a stretch of time. */
+export class Tally {
+  starts = 0;
+  tasksCame = 0;
+  jobs = 0;
+  private readonly running = new Set<string>();
+  private readonly submittedAt = new Map<JobId, number>();
+  private readonly waiting = new Map<string, number>();
+  private waits = new DDSketch();
+  private lastStartAt: number | null = null;
+  private longestPauseMs = 0;
+
+  constructor(private readonly find: (id: JobId) => JobSpec | undefined) {}
+
+  /** Begins anew; what runs and what waits stays known. */
+  reset(): void {
+    this.starts = 0;
+    this.tasksCame = 0;
+    this.jobs = 0;
+    this.waits = new DDSketch();
+    this.lastStartAt = null;
+    this.longestPauseMs = 0;
+  }
+
+  take(event: RunEvent): void {
+    switch (event.kind) {
+      case 'submitted':
+        this.submitted(event.job, event.at);
+        return;
+      case 'started':
+        this.started(event.job, event.task, event.at);
+        return;
+      case 'left':
+        this.running.delete(`${event.job}/${event.task}`);
+        return;
+      case 'cancelAsked':
+        this.forget(event.job);
+        return;
+      case 'told':
+      case 'completed':
+      case 'machineGone':
+    }
+  }
+
+  private submitted(id: JobId, at: number): void {
+    const spec = this.find(id);
+    if (spec === undefined) return;
+    this.submittedAt.set(id, at);
+    if (spec.kind !== 'service') {
+      this.tasksCame += spec.tasks;
+      this.jobs += 1;
+    }
+    if (spec.class === 'urgent')
+      for (let task = 0; task < spec.tasks; task += 1) this.waiting.set(`${id}/${task}`, at);
+  }
+
+  private started(id: JobId, task: number, at: number): void {
+    const name = `${id}/${task}`;
+    this.starts += 1;
+    this.running.add(name);
+    if (this.lastStartAt !== null) this.longestPauseMs = Math.max(this.longestPauseMs, at - this.lastStartAt);
+    this.lastStartAt = at;
+    const since = this.waiting.get(name);
+    if (since === undefined) return;
+    this.waiting.delete(name);
+    this.waits.accept(at - since);
+  }
+
+  /** A cancelled job's tasks are waited for no longer. */
+  private forget(id: JobId): void {
+    for (const name of this.waiting.keys()) if (name.startsWith(`${id}/`)) this.waiting.delete(name);
+  }
+
+  get runningNow(): number {
+    return this.running.size;
+  }
+
+  get urgent(): LatencySummary {
+    return this.waits.count === 0 ? EMPTY : summary(this.waits);
+  }
+
+  /** Urgent tasks that have waited for longer than the aim and have not started. */
+  notStarted(now: number): number {
+    return [...this.waiting.values()].filter((at) => now - at > RUN_SETTINGS.urgentWithinS * 1000).length;
+  }
+
+  get pauseS(): number {
+    return this.longestPauseMs / 1000;
+  }
+}
--- /dev/null
+++ b/packages/scale/src/users.ts
@@ -0,0 +1,213 @@
+import { SteadyTimeline } from '@spurbridge/hollow';
+import type { HttpAnswer } from '@spurbridge/net';
+import { JsonClient, NoAnswerError } from '@spurbridge/net';
+import type { JobPhase, JobSpec } from '@spurbridge/wire';
+import { PATHS, formatSubmission, parsePhase } from '@spurbridge/wire';
+import type { Meter } from './child.js';
+import { obey, tell } from './child.js';
+import type { RunEvent } from './events.js';
+import type { UsersRole } from './messages.js';
+import { Workload } from './workload.js';
+
+const ANSWER_MS = 5000;
+const POLL_ANSWER_MS = 2000;
+const POLL_MS = 5000;
+const RETRY_MS = 1000;
+const GIVES_UP_MS = 60_000;
+const BATCH_MS = 50;
+const SOCKETS = 64;
+/** Services are submitted one after another, so that a start is no flood. */
+const SERVICE_GAP_MS = 20;
+
+type Call = 'submit' | 'poll' | 'cancel';
+
+/** The life of one user's job, as its user sees it. */
+type UserState = 'submitting' | 'polling' | 'cancelling' | 'over';
+
+/** Users of one region: jobs come at their own times, whether the service is slow or not. */
+class Users {
+  private readonly time = new SteadyTimeline();
+  private readonly workload: Workload;
+  private readonly clients: JsonClient[];
+  private events: RunEvent[] = [];
+  private next = 0;
+
+  constructor(
+    role: UsersRole,
+    private readonly meter: Meter,
+  ) {
+    this.workload = new Workload(role.workload);
+    this.clients = role.nodes.map((n) => new JsonClient(n.address, SOCKETS));
+  }
+
+  run(): void {
+    setInterval(() => {
+      const { events } = this;
+      this.events = [];
+      tell({ notice: 'events', events, until: this.time.now - 1 });
+    }, BATCH_MS);
+    this.workload.services().forEach((spec, n) => {
+      this.time.after(n * SERVICE_GAP_MS, () => {
+        this.begin(spec, null);
+      });
+    });
+    this.arrive(0, this.time.now);
+  }
+
+  /** The next job comes when it is due by the drawn times, however long the one before takes. */
+  private arrive(index: number, dueAt: number): void {
+    const at = dueAt + this.workload.gapMs(index);
+    this.time.after(at - this.time.now, () => {
+      this.begin(this.workload.job(index), this.workload.cancelAfterS(index));
+      this.arrive(index + 1, at);
+    });
+  }
+
+  private begin(spec: JobSpec, cancelAfterS: number | null): void {
+    this.meter.count('jobs');
+    this.events.push({ kind: 'submitted', at: this.time.now, job: spec.id });
+    const emit = (event: RunEvent): void => {
+      this.events.push(event);
+    };
+    const user = new User(spec, this.time, this.meter, emit, () => this.client());
+    void user.live(cancelAfterS);
+  }
+
+  private client(): JsonClient {
+    this.next = (this.next + 1) % this.clients.length;
+    return this.clients[this.next] as JsonClient;
+  }
+}
+
+/** One job's user: submits until answered for good, asks now and then, and may cancel. */
+class User {
+  private state: UserState = 'submitting';
+  private readonly beganAt: number;
+
+  constructor(
+    private readonly spec: JobSpec,
+    private readonly time: SteadyTimeline,
+    private readonly meter: Meter,
+    private readonly emit: (event: RunEvent) => void,
+    private readonly client: () => JsonClient,
+  ) {
+    this.beganAt = time.now;
+  }
+
+  /** The only function that changes the state. */
+  private enter(next: UserState): void {
+    this.state = next;
+  }
+
+  async live(cancelAfterS: number | null): Promise<void> {
+    while (this.state !== 'over') await this.step(cancelAfterS);
+  }
+
+  private async step(cancelAfterS: number | null): Promise<void> {
+    switch (this.state) {
+      case 'submitting':
+        return this.submit();
+      case 'polling': {
+        const isDue = cancelAfterS !== null && this.time.now - this.beganAt > cancelAfterS * 1000;
+        if (isDue) this.enter('cancelling');
+        else await this.poll();
+        return;
+      }
+      case 'cancelling':
+        return this.cancel();
+      case 'over':
+        return;
+    }
+  }
+
+  private async submit(): Promise<void> {
+    const status = await this.ask('submit');
+    if (status === 200 || status === 201) {
+      this.meter.latency('accepted', this.time.now - this.beganAt);
+      this.enter('polling');
+    } else if (status === 400 || status === 422) this.giveUp('refused');
+    else if (this.time.now - this.beganAt > GIVES_UP_MS) this.giveUp('gave up');
+    else await this.wait(RETRY_MS);
+  }
+
+  private giveUp(why: string): void {
+    this.meter.count(why);
+    this.enter('over');
+  }
+
+  private async poll(): Promise<void> {
+    await this.wait(POLL_MS);
+    await this.ask('poll');
+  }
+
+  private async cancel(): Promise<void> {
+    this.emit({ kind: 'cancelAsked', at: this.time.now, job: this.spec.id });
+    await this.ask('cancel');
+    if (this.isCancelling()) await this.wait(RETRY_MS);
+  }
+
+  private isCancelling(): boolean {
+    return this.state === 'cancelling';
+  }
+
+  private wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.time.after(ms, resolve);
+    });
+  }
+
+  /** One request; its status, or null without an answer. */
+  private async ask(call: Call): Promise<number | null> {
+    const askedAt = this.time.now;
+    this.meter.count(call);
+    let answer: HttpAnswer;
+    try {
+      answer = await this.send(call);
+    } catch (e) {
+      if (!(e instanceof NoAnswerError)) throw e;
+      this.meter.count(`${call} unanswered`);
+      return null;
+    }
+    this.meter.latency(call, this.time.now - askedAt);
+    if (answer.status >= 400) this.meter.count(`${call} ${answer.status}`);
+    const isSaid = answer.status === 200 || answer.status === 201;
+    const phase = isSaid ? parsePhase(answer.body) : null;
+    this.emit({
+      kind: 'told',
+      at: this.time.now,
+      job: this.spec.id,
+      call,
+      code: answer.status,
+      phase,
+      askedAt,
+    });
+    if (isFinal(phase)) this.enter('over');
+    return answer.status;
+  }
+
+  private send(call: Call): Promise<HttpAnswer> {
+    const path = `${PATHS.jobs}/${this.spec.id}`;
+    switch (call) {
+      case 'submit':
+        return this.client().call('POST', PATHS.jobs, formatSubmission(this.spec), ANSWER_MS);
+      case 'poll':
+        return this.client().call('GET', path, undefined, POLL_ANSWER_MS);
+      case 'cancel':
+        return this.client().call('POST', `${path}/cancel`, {}, ANSWER_MS);
+    }
+  }
+}
+
+function isFinal(phase: JobPhase | null): boolean {
+  return phase === 'done' || phase === 'cancelled';
+}
+
+/** A process that is all users of one region. */
+export function runUsers(role: UsersRole, meter: Meter): void {
+  const users = new Users(role, meter);
+  obey((order) => {
+    if (order.order === 'read') tell({ notice: 'reading', reading: meter.read() });
+  });
+  tell({ notice: 'ready' });
+  users.run();
+}
--- /dev/null
+++ b/packages/scale/src/worker-host.ts
@@ -0,0 +1,212 @@
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { ReportOutcome, TaskObserver, WorkerHost } from '@spurbridge/hollow';
+import { GangRegistry, HollowWorker, SteadyTimeline } from '@spurbridge/hollow';
+import { JsonClient, NoAnswerError } from '@spurbridge/net';
+import type { JobId, MachineId, WorkerReport } from '@spurbridge/wire';
+import { PATHS, formatReport, parseDirectCommands, parseRedirect, parseReportAnswer } from '@spurbridge/wire';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { splitAddress, workerAddress } from './addresses.js';
+import type { Meter } from './child.js';
+import { obey, tell } from './child.js';
+import { machineType } from './cloud-server.js';
+import type { RunEvent } from './events.js';
+import { jsonServer } from './json-server.js';
+import type { MachineUp, WorkersRole } from './messages.js';
+import { Workload } from './workload.js';
+
+/** A worker gives a report up after this, by the protocol. */
+const ANSWER_MS = 4000;
+const BATCH_MS = 50;
+/** The end of a lease is noticed and told up to so much later than it was. */
+const LATEST_STAMP_MS = 400;
+
+/** Keeps what happens to tasks until it is told to the driver. */
+class EventLog implements TaskObserver {
+  private events: RunEvent[] = [];
+  private readonly doneTasks = new Set<string>();
+  killedByLease = 0;
+
+  constructor(private readonly time: SteadyTimeline) {}
+
+  started: TaskObserver['started'] = (job, task, attempt, at) => {
+    this.events.push({ kind: 'started', at: this.time.now, job: job.id, task, attempt, ...at });
+  };
+
+  left(job: JobId, task: number, machine: MachineId, isDone: boolean, atMs = this.time.now): void {
+    this.events.push({ kind: 'left', at: atMs, job, task, machine, done: isDone });
+    if (isDone) this.doneTasks.add(`${job}/${task}`);
+  }
+
+  completed: TaskObserver['completed'] = (job, attempt) => {
+    this.events.push({ kind: 'completed', at: this.time.now, job: job.id, attempt });
+    for (let task = 0; task < job.tasks; task += 1) this.doneTasks.add(`${job.id}/${task}`);
+  };
+
+  isDone(job: JobId, task: number): boolean {
+    return this.doneTasks.has(`${job}/${task}`);
+  }
+
+  flush(): void {
+    const { events } = this;
+    this.events = [];
+    tell({ notice: 'events', events, until: this.time.now - LATEST_STAMP_MS });
+  }
+}
+
+/** Workers without real tasks that share this process; each has an address and connections of its own. */
+class HollowWorkers {
+  private readonly time = new SteadyTimeline();
+  private readonly log = new EventLog(this.time);
+  private readonly workers = new Map<MachineId, HollowWorker>();
+  private readonly byHost = new Map<string, HollowWorker>();
+  private readonly servers = new Map<MachineId, Server>();
+  /** The connection on which each worker reports, and to which node. */
+  private readonly links = new Map<MachineId, { readonly node: string; readonly client: JsonClient }>();
+  private readonly generator;
+  private readonly host: WorkerHost;
+  private readonly app: FastifyInstance = jsonServer();
+
+  constructor(
+    private readonly role: WorkersRole,
+    private readonly meter: Meter,
+  ) {
+    this.generator = xoroshiro128plus((role.workload.seed + process.pid) | 0);
+    const workload = new Workload(role.workload);
+    this.host = {
+      time: this.time,
+      observer: this.log,
+      nodes: role.nodes.map((n) => n.name),
+      ...role.times,
+      gangs: new GangRegistry(() => this.workers.values()),
+      random: (below) => (below <= 0 ? 0 : uniformInt(this.generator, 0, below - 1)),
+      job: (id) => workload.find(id),
+      fails: () => false,
+      runMs: (job, task) => workload.runMs(job, task),
+      addressOf: (id) => workerAddress(role.region, id),
+      report: (worker, node, report) => this.report(worker, node, report),
+    };
+    this.routes();
+  }
+
+  async run(): Promise<void> {
+    await this.app.ready();
+    setInterval(() => {
+      this.log.flush();
+    }, BATCH_MS);
+    obey((order) => {
+      if (order.order === 'up') for (const m of order.machines) this.up(m);
+      else if (order.order === 'end') for (const id of order.machines) this.end(id);
+      else if (order.order === 'read') {
+        const reading = this.meter.read();
+        const counts = { ...reading.counts, killedByLease: this.log.killedByLease };
+        tell({ notice: 'reading', reading: { ...reading, counts, tasks: this.tasks } });
+      }
+    });
+    tell({ notice: 'ready' });
+  }
+
+  private get tasks(): number {
+    let sum = 0;
+    for (const worker of this.workers.values()) sum += worker.taken().length;
+    return sum;
+  }
+
+  private up(m: MachineUp): void {
+    const { host, port } = splitAddress(workerAddress(this.role.region, m.id));
+    const server = createServer((request, response) => {
+      this.app.routing(request, response);
+    });
+    server.keepAliveTimeout = 120_000;
+    server.listen(port, host, () => {
+      const worker = new HollowWorker(m.id, machineType([]), m.zone, m.spot, this.host);
+      this.workers.set(m.id, worker);
+      this.byHost.set(host, worker);
+    });
+    this.servers.set(m.id, server);
+  }
+
+  /** The machine loses power: its connections end, and everything on it. */
+  private end(id: MachineId): void {
+    this.workers.get(id)?.die();
+    this.workers.delete(id);
+    this.links.get(id)?.client.close();
+    this.links.delete(id);
+    this.byHost.delete(splitAddress(workerAddress(this.role.region, id)).host);
+    const server = this.servers.get(id);
+    server?.close();
+    server?.closeAllConnections();
+    this.servers.delete(id);
+  }
+
+  private routes(): void {
+    this.app.post(PATHS.commands, (request, reply) => {
+      const worker = this.called(request);
+      if (worker === undefined) return reply.code(503).send({});
+      const { token, session, commands } = parseDirectCommands(request.body);
+      this.meter.count('commands');
+      worker.commands(token, session, commands, (isExecuted, report) => {
+        void reply.code(isExecuted ? 200 : 409).send(formatReport(report));
+      });
+      return reply;
+    });
+    this.app.get(PATHS.show, (request, reply: FastifyReply) => {
+      const worker = this.called(request);
+      this.meter.count('shows');
+      return worker === undefined ? reply.code(503).send({}) : reply.send(formatReport(worker.makeReport()));
+    });
+  }
+
+  private called(request: FastifyRequest): HollowWorker | undefined {
+    return this.byHost.get(request.socket.localAddress ?? '');
+  }
+
+  private linkOf(id: MachineId, node: string): JsonClient {
+    const link = this.links.get(id);
+    if (link?.node === node) return link.client;
+    link?.client.close();
+    const address = this.role.nodes.find((n) => n.name === node)?.address ?? '';
+    const client = new JsonClient(address, 1);
+    this.links.set(id, { node, client });
+    return client;
+  }
+
+  private async report(
+    worker: HollowWorker,
+    node: string,
+    report: WorkerReport,
+  ): Promise<ReportOutcome | null> {
+    const began = this.time.now;
+    this.meter.count('reports');
+    try {
+      const answer = await this.linkOf(worker.id, node).call(
+        'POST',
+        PATHS.report,
+        formatReport(report),
+        ANSWER_MS,
+      );
+      this.meter.latency('report', this.time.now - began);
+      switch (answer.status) {
+        case 200:
+          return { code: 200, ...parseReportAnswer(answer.body) };
+        case 421:
+          this.meter.count('redirects');
+          return { code: 421, leader: parseRedirect(answer.body) ?? '' };
+        default:
+          this.meter.count('refusals');
+          return { code: 503 };
+      }
+    } catch (e) {
+      if (!(e instanceof NoAnswerError)) throw e;
+      this.meter.count('unanswered');
+      return null;
+    }
+  }
+}
+
+/** A process of many workers, or of one alone. */
+export async function runWorkers(role: WorkersRole, meter: Meter): Promise<void> {
+  await new HollowWorkers(role, meter).run();
+}
--- a/packages/testkit/src/checker.ts
+++ b/packages/testkit/src/checker.ts
@@ -200,6 +200,12 @@
     this.complete(job, tasks.size);
   }
 
+  /** The machine is gone with everything on it. */
+  machineGone(machine: MachineId): void {
+    const there = [...this.onByJob.all()].filter((o) => o.machine === machine);
+    for (const o of there) this.left(o.job.id, o.task, machine, false);
+  }
+
   private complete(id: JobId, done: number): void {
     const life = this.lives.get(id);
     const spec = this.submitted.get(id);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -4,6 +4,7 @@
 export * from './cloud.js';
 export * from './state.js';
 export * from './peer.js';
+export * from './servers.js';
 export type { Forward, ForwardAnswer } from './forward.js';
 export * from './tariff.js';
 export * from './graphs.js';
--- a/packages/wire/src/users.ts
+++ b/packages/wire/src/users.ts
@@ -116,3 +116,10 @@
 export function formatStatus(s: JobStatus): Record<string, unknown> {
   return { nameId: s.id, phase: s.phase, done: s.done, running: s.running };
 }
+
+const PHASES: readonly JobPhase[] = ['queued', 'running', 'done', 'cancelled'];
+
+/** The phase in an answer of 200 or 201 to a user. */
+export function parsePhase(body: unknown): JobPhase {
+  return r.oneOf(r.asObject(body, 'body'), 'phase', PHASES);
+}
