--- a/packages/controller/src/settings.ts
+++ b/packages/controller/src/settings.ts
@@ -35,6 +35,8 @@
   };
   readonly cloud: { readonly rps: number; readonly listLagS: number };
   readonly maxSockets: number;
+  /** Memory that the process may hold, in megabytes; null: not stated. */
+  readonly memoryMb: number | null;
   /** Share of a core that a controller may use. */
   readonly cpuShare: number;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import { Command, Option } from 'commander';
 import { destination, pino } from 'pino';
 import manifest from '../package.json' with { type: 'json' };
+import { HeapGovernor } from './heap.js';
 import { SettingsError, readSettings } from './settings.js';
 
 const PORT_RETRY_MS = 200;
@@ -32,6 +33,7 @@
     { level, base: { node: settings.node }, timestamp: pino.stdTimeFunctions.isoTime },
     destination({ fd: 2, sync: true }),
   );
+  if (settings.memoryMb !== null) new HeapGovernor(settings.memoryMb).start();
   const shelf = addition?.shelf?.(flags, log);
   const cloud = new HttpCloud(settings.cloudAddress, settings.cloud.rps, steadyClock);
   const store = new GuardedStore({
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -76,6 +76,7 @@
     },
     cloud: { rps: read.amount(cloud, 'rps'), listLagS: read.amount(cloud, 'list_lag_s') },
     maxSockets: read.count(resources, 'sockets', 1),
+    memoryMb: read.optAmount(resources, 'mem_mb'),
     cpuShare: read.optAmount(resources, 'cpu') ?? 1,
   };
 }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -175,6 +175,7 @@
       state: this.o.stateLimits ?? AMPLE,
       cloud: { rps: 10, listLagS: LIST_LAG_MS / 1000 },
       maxSockets: 100,
+      memoryMb: null,
       cpuShare: 0.17,
     };
   }
