Teams and objectives change while jobs run

Change: package configuration: versioned records (head, pages of teams, objectives, history in a ring), an editor whose every change is one commit on the version that its author saw and on the state service's fence, and what a node holds: always one whole version. A plan goes by one version and names it; nodes tell each other theirs over back. A refusal for good is confirmed at the state service first.

--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,6 @@
+export * from './change.js';
+export * from './editor.js';
+export * from './live.js';
+export * from './records.js';
+export * from './requests.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/configuration/test/change.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Configuration, ConfigurationChange } from '../src/index.js';
+import {
+  NO_BOUND,
+  RefusedChangeError,
+  applyChanges,
+  configurationOfFile,
+  decodePage,
+  differences,
+  encodePage,
+  formatChange,
+  parseChange,
+  parseProposal,
+} from '../src/index.js';
+
+const FILE = configurationOfFile(
+  [{ name: 'red', cpus: 10, cpusMax: 20, gpus: 0, gpusMax: Infinity }],
+  [{ kind: 'wait', class: 'urgent', withinS: 3.7, share: 0.99, times: null }],
+);
+
+function refusedField(change: ConfigurationChange, before: Configuration = FILE, bound = NO_BOUND): string {
+  try {
+    applyChanges(before, [change], bound);
+  } catch (e) {
+    assert.ok(e instanceof RefusedChangeError);
+    return e.field;
+  }
+  return '';
+}
+
+test('a change adds one version, keeps what it leaves out, and says what differs', () => {
+  const next = applyChanges(
+    FILE,
+    [
+      { team: 'red', cpusMax: 15 },
+      { team: 'blue', cpus: 3 },
+    ],
+    NO_BOUND,
+  );
+  assert.equal(next.version, 1);
+  assert.deepEqual(next.teams[0], { ...FILE.teams[0], cpusMax: 15 });
+  assert.deepEqual(
+    differences(FILE, next).map((d) => `${d.path} ${d.from} ${d.to}`),
+    [
+      'teams.red.cpusMax 20 15',
+      'teams.blue.cpus - 3',
+      'teams.blue.cpusMax - no limit',
+      'teams.blue.gpus - 0',
+      'teams.blue.gpusMax - no limit',
+    ],
+  );
+});
+
+test('what can hold for nobody is refused, and the field is named', () => {
+  assert.equal(refusedField({ team: 'red', cpus: 21 }), 'teams.red.cpus');
+  assert.equal(refusedField({ team: 'red', cpus: -1 }), 'teams.red.cpus');
+  assert.equal(refusedField({ team: 'red', cpus: Infinity }), 'teams.red.cpus');
+  assert.equal(refusedField({ team: 'red', cpusMax: NaN }), 'teams.red.cpusMax');
+  assert.equal(refusedField({ team: 'blue', cpus: 5 }, FILE, { cpus: 14, gpus: 0 }), 'teams.cpus');
+  assert.equal(refusedField({ team: 'blue', cpus: 4 }, FILE, { cpus: 14, gpus: 0 }), '');
+});
+
+test('unknown fields, amounts that are none and empty requests are malformed, with the path', () => {
+  const proposal = { base: 0, changeId: 'x', author: 'me', changes: [{ team: 'red', cpu: 3 }] };
+  assert.throws(() => parseProposal(proposal), /changes\[0\]\.cpu: /);
+  assert.throws(
+    () => parseProposal({ ...proposal, changes: [{ team: 'red', cpus: null }] }),
+    /changes\[0\]\.cpus/,
+  );
+  assert.throws(
+    () => parseProposal({ ...proposal, changes: [{ team: 'red', cpus: 1e999 }] }),
+    /changes\[0\]\.cpus/,
+  );
+  assert.throws(() => parseProposal({ ...proposal, changes: [] }), /changes/);
+  assert.throws(() => parseProposal({ ...proposal, changes: [{ team: 'red' }], forced: true }), /forced/);
+  const objectives = [{ kind: 'wait', class: null, withinS: 1, share: 1, times: null, within: 2 }];
+  assert.throws(() => parseChange({ objectives }, 'changes[0]'), /changes\[0\]\.objectives\[0\]\.within/);
+});
+
+const amount = fc.integer({ min: 0, max: 1000 }).map((n) => n / 4);
+const team = fc.record(
+  {
+    name: fc.string({ minLength: 1, maxLength: 20 }),
+    cpus: amount,
+    cpusMax: fc.oneof(amount, fc.constant(Infinity)),
+    gpus: amount,
+    gpusMax: fc.oneof(amount, fc.constant(Infinity)),
+    isRetired: fc.boolean(),
+  },
+  { noNullPrototype: true },
+);
+
+test('pages and changes are found again as they were written, also where there is no limit', () => {
+  fc.assert(
+    fc.property(fc.array(team, { maxLength: 20 }), (teams) => {
+      const page = { version: 3 as never, teams };
+      assert.deepEqual(decodePage(JSON.parse(JSON.stringify(encodePage(page)))), page);
+      for (const { name, ...rest } of teams) {
+        const change = { team: name, ...rest };
+        assert.deepEqual(parseChange(JSON.parse(JSON.stringify(formatChange(change))), 'x'), change);
+      }
+    }),
+  );
+});
--- a/packages/controller/src/arrivals.ts
+++ b/packages/controller/src/arrivals.ts
@@ -28,7 +28,7 @@
 
   constructor(
     private readonly estimates: Estimates,
-    private readonly teams: readonly Team[],
+    private readonly teams: () => readonly Team[],
     private readonly now: () => Ms,
   ) {}
 
@@ -63,7 +63,7 @@
     if (lately <= usual + DEVIATIONS * Math.sqrt(usual) + SOME) return 0;
     let cpus = 0;
     for (const [team, sum] of work) {
-      const limit = this.teams.find((t) => t.name === team)?.cpusMax ?? 0;
+      const limit = this.teams().find((t) => t.name === team)?.cpusMax ?? 0;
       cpus += Math.min(limit, sum / (WINDOW_MS / 1000));
     }
     return cpus;
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -3,6 +3,7 @@
 export * from './settings.js';
 export * from './worker-link.js';
 export * from './jobs.js';
+export type { NodeConfiguration } from './configuration-in-force.js';
 export * from './leader.js';
 export * from './log.js';
 export * from './estimates.js';
--- a/packages/controller/src/jobs.ts
+++ b/packages/controller/src/jobs.ts
@@ -1,3 +1,4 @@
+import type { Configuration, ConfigurationVersion } from '@spurbridge/configuration';
 import type { JobRecord, WallMs } from '@spurbridge/model';
 import { chunkSizeFor, decodeJob, encodeJob, jobKey, neverRuns, userPhase } from '@spurbridge/model';
 import type { StateStore } from '@spurbridge/store';
@@ -13,6 +14,14 @@
 
 const TRIES = 3;
 
+/** The configuration as a node that answers users needs it. */
+export interface ConfigurationSource {
+  /** The version that this node goes by. */
+  current(): Configuration;
+  /** The version that the state service holds now; null: it does not answer. */
+  latestVersion(): Promise<ConfigurationVersion | null>;
+}
+
 /** Users' calls, answered by any node from the state service alone. */
 export class JobService {
   constructor(
@@ -20,6 +29,7 @@
     private readonly store: StateStore,
     private readonly wallNow: () => WallMs,
     private readonly types: () => readonly MachineType[],
+    private readonly configuration: ConfigurationSource,
     private readonly progress: (id: JobId) => { done: number; running: number } | null,
   ) {}
 
@@ -31,9 +41,9 @@
       return this.malformed(body, e);
     }
     if (this.types().length === 0) return this.known(spec.id, unsure('machine types are not known yet'));
-    const never = neverRuns(spec, this.settings.teams, this.types());
+    const never = this.refusal(spec);
     // A retry of a known job is answered with its state even if the job would be refused now.
-    if (never !== null) return this.known(spec.id, { code: 422, error: never });
+    if (never !== null) return this.known(spec.id, await this.confirmed(spec, never));
     const record: JobRecord = {
       spec,
       phase: 'active',
@@ -50,6 +60,24 @@
     return unsure('the state service did not confirm');
   }
 
+  private refusal(spec: JobSpec): string | null {
+    const { teams } = this.configuration.current();
+    if (teams.some((t) => t.name === spec.team && t.isRetired)) return 'the team is retired';
+    return neverRuns(spec, teams, this.types());
+  }
+
+  /**
+   * A refusal is final for its user, so it is never given from an old configuration: the state service says first that
+   * there is no later one.
+   */
+  private async confirmed(spec: JobSpec, never: string): Promise<Answer> {
+    const version = await this.configuration.latestVersion();
+    if (version === null) return unsure('the configuration cannot be confirmed');
+    if (version === this.configuration.current().version)
+      return { code: 422, error: this.refusal(spec) ?? never };
+    return unsure('a later configuration is being taken in');
+  }
+
   private async malformed(body: unknown, e: unknown): Promise<Answer> {
     if (!(e instanceof MalformedError)) throw e;
     const refusal: Answer = { code: 400, error: e.message };
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -60,7 +60,11 @@
     cluster.on('learned', ({ spec }) => {
       if (spec.kind !== 'service' && spec.cpus > 0) estimates.sized(spec);
     });
-    const arrivals = new Arrivals(estimates, c.settings.teams, () => c.clock.now());
+    const arrivals = new Arrivals(
+      estimates,
+      () => c.configuration().teams,
+      () => c.clock.now(),
+    );
     this.shown = new Progress(tenure, cluster);
     this.records = new JobRecords(tenure, cluster, (record) => {
       arrivals.learned(record.spec, later(c.clock.now(), -Math.max(0, c.wallNow() - record.at)));
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -1,4 +1,12 @@
 import type { Cloud } from '@spurbridge/cloud';
+import type { ConfigurationVersion } from '@spurbridge/configuration';
+import {
+  FILE_VERSION,
+  HEAD_KEY,
+  LiveConfiguration,
+  configurationOfFile,
+  decodeHead,
+} from '@spurbridge/configuration';
 import type { WallMs } from '@spurbridge/model';
 import type { Clock } from '@spurbridge/net';
 import type { GuardedStore } from '@spurbridge/recovery';
@@ -13,7 +21,10 @@
   Token,
   WorkerReport,
 } from '@spurbridge/wire';
+import { MalformedError } from '@spurbridge/wire';
 import { cancelledIn } from './commands.js';
+import type { NodeConfiguration } from './configuration-in-force.js';
+import { ConfigurationInForce } from './configuration-in-force.js';
 import { JobService } from './jobs.js';
 import { Leader } from './leader.js';
 import { Fitness } from './fitness.js';
@@ -68,11 +79,25 @@
   private readonly fitness: Fitness;
   private leader: Leader | null = null;
   private machineTypes: readonly MachineType[] = [];
+  private readonly configuration: LiveConfiguration;
+  private readonly inForce: ConfigurationInForce;
   private readonly progress = new Map<JobId, JobProgress>();
 
   constructor(private readonly parts: NodeParts) {
     const { settings, store, clock, log } = parts;
     this.fitness = new Fitness(clock);
+    this.configuration = new LiveConfiguration(configurationOfFile(settings.teams, settings.objectives), {
+      log,
+      changed: () => {
+        this.leader?.requestPlan();
+        this.peers.broadcast(this.status());
+      },
+    });
+    this.inForce = new ConfigurationInForce(settings, clock, {
+      version: () => this.configuration.version,
+      ageMs: () => store.copyAgeMs,
+      leads: () => this.leads,
+    });
     this.leadership = new Leadership(store, clock, settings.node, parts.incarnation, {
       elected: (token) => {
         this.elected(token);
@@ -119,6 +144,7 @@
       store,
       parts.wallNow,
       () => this.machineTypes,
+      { current: () => this.configuration.current, latestVersion: () => this.latestVersion() },
       (id) => this.leader?.progress(id) ?? this.progress.get(id) ?? null,
     );
   }
@@ -141,8 +167,15 @@
 
   private elected(token: Token): void {
     const { settings, store, cloud, workers, clock, wallNow, log } = this.parts;
+    this.inForce.beginsToLead();
     const leader = new Leader({
       settings,
+      configuration: () => this.configuration.current,
+      planned: (version) => {
+        if (!this.inForce.planned(version)) return;
+        log.info({ version }, 'plans by this configuration');
+        this.peers.broadcast(this.status());
+      },
       store,
       cloud,
       workers,
@@ -213,10 +246,34 @@
         ...this.parts.store.status(),
         ...this.holding.status(this.leader?.isReady === true),
         burden: this.fitness.burden,
+        ...this.inForce.status(),
       },
     };
   }
 
+  /** Which version each node goes by, this one first. */
+  configurationStatus(): NodeConfiguration[] {
+    return this.inForce.all();
+  }
+
+  /** The version that the state service holds now; null where it does not answer. */
+  private async latestVersion(): Promise<ConfigurationVersion | null> {
+    const found = await this.parts.store.read(HEAD_KEY, 1);
+    if (found.outcome === 'absent') return FILE_VERSION;
+    if (found.outcome !== 'found') return null;
+    try {
+      return decodeHead(found.item.value).version;
+    } catch (e) {
+      if (e instanceof MalformedError) return null;
+      throw e;
+    }
+  }
+
+  /** What is known of the state service's records has changed. */
+  copyChanged(): void {
+    this.configuration.seen((key) => this.parts.store.recordOf(key));
+  }
+
   /** Peers hear at once when this node begins or ceases to trust the state service. */
   trustChanged(): void {
     this.peers.broadcast(this.status());
@@ -227,6 +284,7 @@
     if (s !== undefined) this.parts.store.peerSaid(s);
     if (s !== undefined && s.leader !== '') this.leadership.observe(s.token, s.leader);
     if (s !== undefined) this.holding.peerSaid(s);
+    if (s !== undefined) this.inForce.peerSaid(s);
     this.holding.take(message);
     for (const p of message.progress ?? []) {
       this.progress.delete(p.job as JobId);
--- a/packages/controller/src/planning.ts
+++ b/packages/controller/src/planning.ts
@@ -5,6 +5,7 @@
 import { formatTaskName } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import type { Estimates } from './estimates.js';
+import { giveUpBeyondLimits } from './limits.js';
 import { Signal } from './signal.js';
 import type { Tenure } from './tenure.js';
 import { snapshotOf } from './view.js';
@@ -71,8 +72,12 @@
   }
 
   private planOnce(): void {
-    const { clock, log, settings } = this.tenure.c;
+    const { clock, log, configuration, planned } = this.tenure.c;
     const now = clock.now();
+    // One whole version for the whole plan, whatever becomes known while it is made.
+    const { version, teams: configured, objectives } = configuration();
+    giveUpBeyondLimits(this.cluster, configured, now);
+    const settings = { ...this.tenure.c.settings, teams: configured, objectives };
     const seen = snapshotOf(this.cluster, this.estimates, settings, now, this.parts.hasJoined);
     const teams = seen.teams.map((t) => {
       const unknown = this.parts.unknownUse(t.name);
@@ -108,6 +113,7 @@
       this.cluster.emit('due', p.machine);
     }
     this.parts.planned(result.unmet);
+    planned(version);
   }
 }
 
--- a/packages/controller/src/settings.ts
+++ b/packages/controller/src/settings.ts
@@ -1,14 +1,6 @@
-import type { Team } from '@spurbridge/model';
+import type { Objective, Team } from '@spurbridge/model';
 import type { NodeId } from '@spurbridge/wire';
 
-export interface Objective {
-  readonly kind: string;
-  readonly class: string | null;
-  readonly withinS: number | null;
-  readonly share: number | null;
-  readonly times: number | null;
-}
-
 /** The platform's settings file, as the controllers use it. */
 export interface Settings {
   readonly node: NodeId;
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/tenure.ts
@@ -1,4 +1,5 @@
 import type { Cloud } from '@spurbridge/cloud';
+import type { Configuration, ConfigurationVersion } from '@spurbridge/configuration';
 import type { Job, WallMs } from '@spurbridge/model';
 import type { Clock, Ms } from '@spurbridge/net';
 import type { Leadership, StateStore } from '@spurbridge/store';
@@ -27,6 +28,10 @@
 export interface LeaderContext {
   readonly trust: Trust;
   readonly settings: Settings;
+  /** What operators may change while jobs run: one whole version at a time. */
+  readonly configuration: () => Configuration;
+  /** A plan went by this version. */
+  readonly planned: (version: ConfigurationVersion) => void;
   readonly store: StateStore;
   readonly cloud: Cloud;
   readonly workers: WorkerLink;
--- /dev/null
+++ b/packages/daemon/src/config-client.ts
@@ -0,0 +1,127 @@
+import { randomUUID } from 'node:crypto';
+import type { ConfigurationChange, Difference, HistoryEntry } from '@spurbridge/configuration';
+import { formatChange } from '@spurbridge/configuration';
+import type { HttpAnswer } from '@spurbridge/net';
+import { JsonClient, NoAnswerError } from '@spurbridge/net';
+import { read } from '@spurbridge/wire';
+import { CONFIGURATION_PATHS } from './configuration-routes.js';
+
+const ANSWER_MS = 4000;
+const RETRY_MS = 300;
+const STATUS_EVERY_MS = 50;
+const TRIES = 8;
+
+/** No node answers, or none can say. */
+export class UnreachableError extends Error {}
+
+/** The version that the author saw is not the newest. */
+export class StaleVersionError extends Error {
+  constructor(readonly version: number) {
+    super(`version ${version} is the newest: look at it, and ask again`);
+  }
+}
+
+/** The change was refused; the message names the field. */
+export class ChangeRefusedError extends Error {}
+
+export interface ShownConfiguration {
+  readonly version: number;
+  readonly teams: readonly Record<string, unknown>[];
+  readonly objectives: readonly Record<string, unknown>[];
+}
+
+export interface Applied {
+  readonly outcome: string;
+  readonly version: number;
+  readonly differences: readonly Difference[];
+}
+
+export interface NodeVersion {
+  readonly node: string;
+  readonly version: number | null;
+  readonly ageMs: number;
+  readonly leads: boolean;
+}
+
+/** Which nodes had not taken a version in by the end, and how long the others took. */
+export interface InForce {
+  readonly lagging: readonly NodeVersion[];
+  readonly afterMs: number;
+}
+
+/** The operators' calls, to whichever of the nodes answers. */
+export class ConfigClient {
+  private readonly clients: JsonClient[];
+
+  constructor(
+    addresses: readonly string[],
+    private readonly sleep: (ms: number) => Promise<void> = (ms) =>
+      new Promise((resolve) => setTimeout(resolve, ms)),
+  ) {
+    this.clients = addresses.map((address) => new JsonClient(address, 2));
+  }
+
+  close(): void {
+    for (const client of this.clients) client.close();
+  }
+
+  /** Asks one node after another until one says something final. */
+  private async ask(method: 'GET' | 'POST', path: string, body?: unknown): Promise<HttpAnswer> {
+    for (let n = 0; n < TRIES; n += 1) {
+      const client = this.clients[n % this.clients.length] as JsonClient;
+      try {
+        const answer = await client.call(method, path, body, ANSWER_MS);
+        if (answer.status < 500) return answer;
+      } catch (e) {
+        if (!(e instanceof NoAnswerError)) throw e;
+      }
+      await this.sleep(RETRY_MS);
+    }
+    throw new UnreachableError('no node answers, or none can ask the state service');
+  }
+
+  async show(): Promise<ShownConfiguration> {
+    return (await this.ask('GET', CONFIGURATION_PATHS.current)).body as ShownConfiguration;
+  }
+
+  async history(): Promise<readonly HistoryEntry[]> {
+    const { body } = await this.ask('GET', CONFIGURATION_PATHS.history);
+    return read.asArray(read.asObject(body, 'body')['entries'], 'entries') as readonly HistoryEntry[];
+  }
+
+  async status(): Promise<readonly NodeVersion[]> {
+    const { body } = await this.ask('GET', CONFIGURATION_PATHS.status);
+    return read.asArray(read.asObject(body, 'body')['nodes'], 'nodes') as readonly NodeVersion[];
+  }
+
+  /** Makes the changes on top of the version that is the newest now; sent again, they are not made twice. */
+  async apply(
+    changes: readonly ConfigurationChange[],
+    author: string,
+    isDryRun: boolean,
+    base?: number,
+  ): Promise<Applied> {
+    const answer = await this.ask('POST', CONFIGURATION_PATHS.changes, {
+      base: base ?? (await this.show()).version,
+      changeId: randomUUID(),
+      author,
+      changes: changes.map(formatChange),
+      dryRun: isDryRun,
+    });
+    if (answer.status === 200) return answer.body as Applied;
+    const o = read.asObject(answer.body, 'body');
+    if (answer.status === 409) throw new StaleVersionError(read.count(o, 'version'));
+    throw new ChangeRefusedError(read.str(o, 'error'));
+  }
+
+  /** Waits until the version is in force on every node, or the time is over. */
+  async inForce(version: number, withinMs: number): Promise<InForce> {
+    const began = performance.now();
+    for (;;) {
+      const lagging = (await this.status()).filter((n) => n.version === null || n.version < version);
+      const afterMs = performance.now() - began;
+      if (lagging.length === 0 || afterMs >= withinMs) return { lagging, afterMs };
+      await this.sleep(STATUS_EVERY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/configuration-routes.ts
@@ -0,0 +1,53 @@
+import type { Configuration, ConfigurationEditor, ProposalOutcome } from '@spurbridge/configuration';
+import { parseProposal } from '@spurbridge/configuration';
+import type { NodeConfiguration } from '@spurbridge/controller';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+
+export const CONFIGURATION_PATHS = {
+  current: '/configuration',
+  changes: '/configuration/changes',
+  history: '/configuration/history',
+  status: '/configuration/status',
+} as const;
+
+export interface ConfigurationRouteParts {
+  readonly editor: ConfigurationEditor;
+  /** Which version each node goes by. */
+  readonly nodes: () => readonly NodeConfiguration[];
+  /** What holds where no change was ever made. */
+  readonly file: Configuration;
+}
+
+function unsure(reply: FastifyReply): FastifyReply {
+  return reply.code(503).header('retry-after', '1').send({ error: 'the state service did not confirm' });
+}
+
+function answer(reply: FastifyReply, outcome: ProposalOutcome): FastifyReply {
+  switch (outcome.outcome) {
+    case 'conflict':
+      return reply.code(409).send({ error: 'not the newest version', version: outcome.version });
+    case 'refused':
+      return reply.code(422).send({ error: outcome.reason, field: outcome.field });
+    case 'unsure':
+      return unsure(reply);
+    default:
+      return reply.code(200).send(outcome);
+  }
+}
+
+/** The operators' calls: show, change, history and status. JSON has no infinity: null stands for no limit. */
+export function configurationRoutes(app: FastifyInstance, p: ConfigurationRouteParts): void {
+  app.get(CONFIGURATION_PATHS.current, async (_request, reply) => {
+    const loaded = await p.editor.load();
+    if (loaded === null) return unsure(reply);
+    return reply.send(loaded.stored?.configuration ?? p.file);
+  });
+  app.post(CONFIGURATION_PATHS.changes, async (request, reply) =>
+    answer(reply, await p.editor.propose(parseProposal(request.body))),
+  );
+  app.get(CONFIGURATION_PATHS.history, async (_request, reply) => {
+    const loaded = await p.editor.load();
+    return loaded === null ? unsure(reply) : reply.send({ entries: loaded.history });
+  });
+  app.get(CONFIGURATION_PATHS.status, (_request, reply) => reply.send({ nodes: p.nodes() }));
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { HttpCloud } from '@spurbridge/cloud';
 import { Controller, HttpWorkerLink, Peers, buildServer } from '@spurbridge/controller';
-import type { Log, RoomFactory, Settings } from '@spurbridge/controller';
+import type { Log, NodeConfiguration, RoomFactory, Settings } from '@spurbridge/controller';
 import type { WallMs } from '@spurbridge/model';
 import { steadyClock } from '@spurbridge/net';
 import type { StateStore } from '@spurbridge/store';
@@ -49,6 +49,9 @@
     changed: () => {
       controller.trustChanged();
     },
+    copied: () => {
+      controller.copyChanged();
+    },
   });
   const controller: Controller = new Controller({
     settings,
@@ -64,7 +67,12 @@
     rooms,
   });
   const app = buildServer(controller, log);
-  addition?.routes?.(app, { settings, store, types: () => controller.types });
+  addition?.routes?.(app, {
+    settings,
+    store,
+    types: () => controller.types,
+    configurationStatus: () => controller.configurationStatus(),
+  });
   await listen(app, settings.listen, log);
   log.info({ listen: settings.listen, back: settings.back, zone: settings.zone }, 'serving');
   addition?.beside?.(flags, { settings, store, log });
@@ -104,6 +112,8 @@
   readonly settings: Settings;
   readonly store: StateStore;
   readonly types: () => readonly MachineType[];
+  /** Which version of the configuration each node goes by. */
+  readonly configurationStatus: () => readonly NodeConfiguration[];
 }
 
 export interface BesideParts {
--- /dev/null
+++ b/packages/daemon/src/main-config.ts
@@ -0,0 +1,3 @@
+import { configCommand } from './config-command.js';
+
+void configCommand().parseAsync();
--- a/packages/graph-service/src/room.ts
+++ b/packages/graph-service/src/room.ts
@@ -627,7 +627,7 @@
    * jobs that fit into it: handed over as one array a stage would have none, and in large pieces a part of it.
    */
   private widest(o: Open, shape: TaskShape): number {
-    const team = this.tenure.c.settings.teams.find((t) => t.name === o.head.head.team);
+    const team = this.tenure.c.configuration().teams.find((t) => t.name === o.head.head.team);
     if (team === undefined || team.cpus <= 0 || shape.cpus <= 0) return MOST_COTASK;
     return Math.max(1, Math.min(MOST_COTASK, Math.floor(team.cpus / GUARANTEE_PARTS / shape.cpus)));
   }
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -7,3 +7,4 @@
 export * from './admission.js';
 export { Transitions } from './transition.js';
 export * from './served.js';
+export type { Objective } from './objective.js';
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -13,6 +13,7 @@
 import type {
   Change,
   Condition,
+  Item,
   JobId,
   LeaseId,
   MachineId,
@@ -56,6 +57,8 @@
   readonly machines: () => Promise<number | null>;
   /** Told of every change of trust, after it. */
   readonly changed: () => void;
+  /** Told when the copy has changed. */
+  readonly copied?: () => void;
   readonly shelf?: SnapshotShelf;
 }
 
@@ -131,6 +134,13 @@
     return seen === undefined ? null : phaseOf(seen.text);
   }
 
+  /** A record by this node's copy, while the state service is trusted; undefined: none is known. */
+  recordOf(key: string): Item | undefined {
+    const seen = this.sound?.copy.get(key);
+    if (seen === undefined) return undefined;
+    return { key, value: JSON.parse(seen.text) as unknown, version: seen.version };
+  }
+
   /** How old the copy is at most, in milliseconds: all that was durable before is in it. */
   get copyAgeMs(): number {
     return this.view?.ageMs ?? Infinity;
@@ -322,6 +332,7 @@
         },
         isCurrent: (view) => this.sound === view,
         isContinuous: () => this.isContinuous,
+        copied: () => this.p.copied?.(),
       },
       o,
     );
@@ -334,6 +345,7 @@
     this.doubtedAt = null;
     this.soundness.enter('sound', `epoch ${epoch.number} at ${revision}, ${o.pending.length} to write back`);
     this.p.changed();
+    this.p.copied?.();
     const impossible = o.items.find((i) => i.version > o.latest);
     if (impossible !== undefined) this.doubt(`${impossible.key} is later than the store`);
   }
--- a/packages/recovery/src/view.ts
+++ b/packages/recovery/src/view.ts
@@ -43,6 +43,8 @@
   readonly isCurrent: (view: View) => boolean;
   /** Whether all that was ever written is known to have been read. */
   readonly isContinuous: () => boolean;
+  /** The copy has changed. */
+  readonly copied: () => void;
 }
 
 /** The state service in one epoch, with this node's copy: every answer is held against what was known. */
@@ -102,6 +104,7 @@
       await this.checkEpoch();
     this.take(seen.events, seen.revision);
     this.knownAt = askedAt;
+    if (seen.events.length > 0) this.p.copied();
     if (seen.events.length > 0) await this.p.clock.sleep(WATCH_PAUSE_MS);
   }
 
@@ -114,6 +117,7 @@
       listed.items.map((i) => (i.version < 0 ? { ...i, version: this.fence.version } : i)),
       listed.revision,
     );
+    this.p.copied();
   }
 
   private async checkEpoch(): Promise<void> {
@@ -289,6 +293,7 @@
       outcome.revision,
     );
     for (const c of changes) this.changed(c, outcome.revision as number as Version);
+    if (changes.length > 0) this.p.copied();
     return outcome;
   }
 
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -267,7 +267,7 @@
   /** By when the job must be complete: its deadline, or what the aims of its class say if that is sooner. */
   private finishBy(job: Job, deadlineS: number): WallMs {
     let withinS = deadlineS;
-    for (const x of this.tenure.c.settings.objectives) {
+    for (const x of this.tenure.c.configuration().objectives) {
       if (x.class !== job.spec.class) continue;
       if (x.kind === 'deadline' && x.times !== null) withinS = Math.min(withinS, deadlineS * x.times);
       if (x.kind === 'finished' && x.withinS !== null) withinS = Math.min(withinS, x.withinS);
@@ -277,7 +277,7 @@
 
   private startBy(job: Job): WallMs | null {
     let withinS = Infinity;
-    for (const x of this.tenure.c.settings.objectives)
+    for (const x of this.tenure.c.configuration().objectives)
       if (x.class === job.spec.class && x.kind === 'wait') withinS = Math.min(withinS, x.withinS ?? Infinity);
     return withinS === Infinity ? null : ((this.submitted(job) + withinS * 1000) as WallMs);
   }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './cloud.js';
+export * from './configuration.js';
 export * from './faults.js';
 export * from './network.js';
 export * from './state.js';
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -208,6 +208,9 @@
       changed: () => {
         controller.trustChanged();
       },
+      copied: () => {
+        controller.copyChanged();
+      },
     });
     this.incarnations += 1;
     const controller: Controller = new Controller({
@@ -528,6 +531,10 @@
     await this.time.run(untilMs);
   }
 
+  get stateLimits(): StateLimits {
+    return this.o.stateLimits ?? AMPLE;
+  }
+
   get teams(): readonly Team[] {
     return this.o.teams;
   }
@@ -539,7 +546,15 @@
 
 /** What is left of a message for a node of a version before shares. */
 function asBefore({ status, progress }: PeerMessage): PeerMessage {
-  const known = { takesReports: false, ready: false, holds: false, machines: 0, burden: 0 };
+  const known = {
+    takesReports: false,
+    ready: false,
+    holds: false,
+    machines: 0,
+    burden: 0,
+    configuration: 0,
+    configurationAgeMs: 0,
+  };
   return {
     ...(status === undefined ? {} : { status: { ...status, ...known } }),
     ...(progress === undefined ? {} : { progress }),
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -31,6 +31,10 @@
   readonly holds: boolean;
   /** What speaks against it as a leader (`Candidate` of the store); 0: nothing, or of an earlier version. */
   readonly burden: number;
+  /** Version of the configuration that it goes by; a leader's that of its last plan. 0: the settings file, or of an earlier version. */
+  readonly configuration: number;
+  /** How long ago it could last confirm that, in milliseconds. */
+  readonly configurationAgeMs: number;
 }
 
 export interface JobProgress {
@@ -63,7 +67,9 @@
   .add(new Field('ready', 11, 'bool'))
   .add(new Field('machines', 12, 'uint32'))
   .add(new Field('holds', 13, 'bool'))
-  .add(new Field('burden', 14, 'uint32'));
+  .add(new Field('burden', 14, 'uint32'))
+  .add(new Field('configuration', 15, 'uint32'))
+  .add(new Field('configurationAgeMs', 16, 'uint32'));
 const Progress = new Type('Progress')
   .add(new Field('job', 1, 'string'))
   .add(new Field('done', 2, 'uint32'))
--- a/packages/wire/test/wire.test.ts
+++ b/packages/wire/test/wire.test.ts
@@ -170,6 +170,8 @@
       ready: fc.boolean(),
       machines: fc.nat(),
       holds: fc.boolean(),
+      configuration: fc.nat(),
+      configurationAgeMs: fc.nat(),
     }),
     progress: fc.array(fc.record({ job: jobId, done: fc.nat(), running: fc.nat() }), { maxLength: 30 }),
     from: label as fc.Arbitrary<NodeId>,
