--- /dev/null
+++ b/packages/configuration/test/live.test.ts
@@ -0,0 +1,101 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Item } from '@spurbridge/wire';
+import type { Configuration, ConfigurationVersion, ConfiguredTeam } from '../src/index.js';
+import {
+  HEAD_KEY,
+  LiveConfiguration,
+  MixedVersionsError,
+  OBJECTIVES_KEY,
+  configurationOfFile,
+  encodeHead,
+  encodeObjectives,
+  encodePage,
+  pageKey,
+  readConfiguration,
+} from '../src/index.js';
+
+const PAGES = 3;
+const FILE = configurationOfFile([], []);
+const SILENT = { info: () => undefined, error: () => undefined };
+
+function teamOf(page: number, version: number): ConfiguredTeam {
+  return { name: `team-${page}`, cpus: version, cpusMax: version, gpus: 0, gpusMax: 0, isRetired: false };
+}
+
+/** The records after so many changes; change number n writes page n modulo the number of pages. */
+function recordsAt(version: number): Map<string, Item> {
+  const written = Array.from({ length: PAGES }, (_, page) => {
+    const last = version - ((version - page + PAGES) % PAGES);
+    return Math.max(1, last) as ConfigurationVersion;
+  });
+  const item = (key: string, value: unknown, stamp: number): [string, Item] => [
+    key,
+    { key, value: JSON.parse(JSON.stringify(value)) as unknown, version: stamp as never },
+  ];
+  const first = 1 as ConfigurationVersion;
+  const head = { version, pages: written, objectives: first, changeId: `${version}`, segment: 0 };
+  return new Map([
+    item(HEAD_KEY, encodeHead(head as never), version),
+    item(OBJECTIVES_KEY, encodeObjectives({ version: first, objectives: [] }), 1),
+    ...written.map((v, page) => item(pageKey(page), encodePage({ version: v, teams: [teamOf(page, v)] }), v)),
+  ]);
+}
+
+test('records of two versions are never taken for a whole, whichever of them are older', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 2, max: 30 }),
+      fc.integer({ min: 2, max: 30 }),
+      fc.array(fc.boolean(), { minLength: PAGES + 2, maxLength: PAGES + 2 }),
+      (a, b, fromOther) => {
+        const [one, other] = [recordsAt(a), recordsAt(b)];
+        const keys = [...one.keys()];
+        const seen = new Map(
+          keys.map((key, n) => [key, (fromOther[n] === true ? other : one).get(key) as Item]),
+        );
+        let read: Configuration | null = null;
+        try {
+          read = readConfiguration((key) => seen.get(key))?.configuration ?? null;
+        } catch (e) {
+          assert.ok(e instanceof MixedVersionsError);
+        }
+        if (read === null) return;
+        const whole = readConfiguration((key) => recordsAt(read.version).get(key))?.configuration;
+        assert.deepEqual(read, whole);
+      },
+    ),
+  );
+});
+
+test('a node holds the version before until it has seen the whole of the next one', () => {
+  const changed: number[] = [];
+  const live = new LiveConfiguration(FILE, { log: SILENT, changed: (c) => changed.push(c.version) });
+  assert.equal(live.state, 'file');
+  live.seen((key) => recordsAt(4).get(key));
+  const mixed = new Map([...recordsAt(4), [HEAD_KEY, recordsAt(5).get(HEAD_KEY) as Item]]);
+  live.seen((key) => mixed.get(key));
+  assert.deepEqual([live.state, live.version], ['mixed', 4]);
+  live.seen((key) => recordsAt(5).get(key));
+  assert.deepEqual([live.state, live.version], ['following', 5]);
+  assert.deepEqual(changed, [4, 5]);
+});
+
+test('a version that goes back, a record that is gone or cannot be read: said, and never a mixture', () => {
+  const errors: string[] = [];
+  const log = { info: () => undefined, error: (_fields: object, message: string) => errors.push(message) };
+  const live = new LiveConfiguration(FILE, { log, changed: () => undefined });
+  live.seen((key) => recordsAt(9).get(key));
+  live.seen((key) => recordsAt(7).get(key));
+  assert.equal(live.version, 7);
+  live.seen(() => undefined);
+  assert.deepEqual([live.state, live.version], ['unreadable', 7]);
+  const broken = new Map([
+    ...recordsAt(8),
+    [pageKey(0), { key: pageKey(0), value: '?', version: 8 as never }],
+  ]);
+  live.seen((key) => broken.get(key));
+  assert.deepEqual([live.state, live.version], ['unreadable', 7]);
+  assert.deepEqual(errors, ['configuration went back', 'configuration is gone from the state service']);
+});
--- a/packages/controller/test/arrivals.test.ts
+++ b/packages/controller/test/arrivals.test.ts
@@ -12,7 +12,11 @@
 /** Arrivals at these times, each job of so much work for its team; the load seen at each second. */
 function watch(times: readonly number[], untilMs: number, tasks = 10): number[] {
   let now = 0 as Ms;
-  const a = new Arrivals(new Estimates(), () => TEAMS, () => now);
+  const a = new Arrivals(
+    new Estimates(),
+    () => TEAMS,
+    () => now,
+  );
   const seen: number[] = [];
   const due = [...times].sort((x, y) => x - y);
   let n = 0;
--- /dev/null
+++ b/packages/controller/test/configuration-in-force.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ConfigurationVersion } from '@spurbridge/configuration';
+import type { Clock } from '@spurbridge/net';
+import type { NodeId, PeerStatus } from '@spurbridge/wire';
+import { ConfigurationInForce } from '../src/configuration-in-force.js';
+import type { Settings } from '../src/index.js';
+
+const v = (n: number): ConfigurationVersion => n as ConfigurationVersion;
+const SETTINGS = { node: 'a', peers: [{ node: 'b' }, { node: 'c' }] } as unknown as Settings;
+
+test('on the leader a version is in force once a plan went by it; a new leader has planned by none', () => {
+  let leads = true;
+  const clock = { now: () => 1000 } as unknown as Clock;
+  const own = { version: () => v(5), ageMs: () => 40, leads: () => leads };
+  const inForce = new ConfigurationInForce(SETTINGS, clock, own);
+  inForce.beginsToLead();
+  assert.equal(inForce.status().configuration, 0);
+  assert.equal(inForce.planned(v(5)), true);
+  assert.equal(inForce.planned(v(5)), false);
+  assert.equal(inForce.status().configuration, 5);
+  inForce.beginsToLead();
+  assert.equal(inForce.status().configuration, 0);
+  leads = false;
+  assert.equal(inForce.status().configuration, 5);
+});
+
+test('every node is listed with how old its knowledge is, also one that was never heard', () => {
+  let now = 1000;
+  const clock = { now: () => now } as unknown as Clock;
+  const own = { version: () => v(5), ageMs: () => 40, leads: () => false };
+  const inForce = new ConfigurationInForce(SETTINGS, clock, own);
+  const status = { node: 'b' as NodeId, configuration: 4, configurationAgeMs: 100, takesReports: true };
+  inForce.peerSaid(status as unknown as PeerStatus);
+  now = 3000;
+  const [a, b, c] = inForce.all();
+  assert.deepEqual([a?.version, a?.ageMs], [5, 40]);
+  assert.deepEqual([b?.version, b?.ageMs, b?.leads], [4, 2100, true]);
+  assert.equal(c?.version, null);
+});
--- a/packages/testkit/test/configuration.test.ts
+++ b/packages/testkit/test/configuration.test.ts
@@ -146,6 +146,24 @@
   assert.equal(await submit(w, 1, jobSpec({ id: id(9), team: 'nobody' })), 422);
 });
 
+test('a team added while a node still takes in the change before is not refused there for good', async () => {
+  const w = await settled(13);
+  for (let n = 0; n < 5; n += 1) {
+    // A node looks again a moment after each change: the second one falls into that moment.
+    await committed(w, 0, 'red', 30 - n);
+    await committed(w, 0, `green-${n}`, 16);
+    for (const node of [1, 2]) {
+      const code = await submit(
+        w,
+        node,
+        jobSpec({ id: id(10 * n + node), team: `green-${n}`, tasks: 1, cpus: 1 }),
+      );
+      assert.ok(code === 201 || code === 503, `${code} at node ${node}`);
+    }
+    await w.run(w.time.now + 2000);
+  }
+});
+
 test('a retired team takes no new job, and what was accepted runs to its end, gangs that wait too', async () => {
   const w = await settled(7);
   const gang = jobSpec({ id: id(1), kind: 'gang', tasks: 3, cpus: 4, estimateS: 5 });
@@ -189,6 +207,27 @@
   assert.deepEqual(w.checker.broken, []);
 });
 
+test('what waits on a full machine does not start once the limit is lowered', async () => {
+  const w = await settled(14);
+  assert.equal(await submit(w, 0, jobSpec({ id: id(1), tasks: 400, cpus: 1, estimateS: 2 })), 201);
+  await w.run(w.time.now + 30_000);
+  for (let n = 0; n < 12; n += 1) {
+    const outcome = await propose(w, n % 3, [{ team: 'red', cpus: 0, cpusMax: 3 }]);
+    assert.ok('version' in outcome);
+    assert.ok((await untilInForce(w, outcome.version, WITHIN_MS)) !== null);
+    await w.run(w.time.now + 60);
+    const { starts } = w.checker;
+    for (let look = 0; look < 40 && usedBy(w, 'red') > 3; look += 1) {
+      await w.run(w.time.now + 25);
+      if (usedBy(w, 'red') > 3)
+        assert.equal(w.checker.starts, starts, `a start beyond the limit, round ${n}`);
+    }
+    await committed(w, n % 3, 'red', 40);
+    await w.run(w.time.now + 2130);
+  }
+  assert.deepEqual(w.checker.broken, []);
+});
+
 test('a leader that stood still comes back with an old version and starts nothing by it', async () => {
   const w = await settled(9);
   const leader = leaderIndex(w);
