--- a/packages/daemon/src/config-client.ts
+++ b/packages/configuration/src/client.ts
@@ -1,10 +1,19 @@
 import { randomUUID } from 'node:crypto';
-import type { ConfigurationChange, Difference, HistoryEntry } from '@spurbridge/configuration';
-import { formatChange } from '@spurbridge/configuration';
 import type { HttpAnswer } from '@spurbridge/net';
 import { JsonClient, NoAnswerError } from '@spurbridge/net';
 import { read } from '@spurbridge/wire';
-import { CONFIGURATION_PATHS } from './configuration-routes.js';
+import type { Difference } from './change.js';
+import type { HistoryEntry } from './records.js';
+import { formatChange } from './requests.js';
+import type { ConfigurationChange } from './types.js';
+
+/** Paths of the operators' calls. */
+export const CONFIGURATION_PATHS = {
+  current: '/configuration',
+  changes: '/configuration/changes',
+  history: '/configuration/history',
+  status: '/configuration/status',
+} as const;
 
 const ANSWER_MS = 4000;
 const RETRY_MS = 300;
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,5 @@
 export * from './change.js';
+export * from './client.js';
 export * from './editor.js';
 export * from './live.js';
 export * from './records.js';
--- a/packages/daemon/src/config-command.ts
+++ b/packages/daemon/src/config-command.ts
@@ -1,9 +1,8 @@
 import { readFileSync } from 'node:fs';
-import type { ConfigurationChange, Difference, TeamChange } from '@spurbridge/configuration';
+import type { ConfigurationChange, Difference, InForce, TeamChange } from '@spurbridge/configuration';
+import { ConfigClient, StaleVersionError, UnreachableError } from '@spurbridge/configuration';
 import { MalformedError } from '@spurbridge/wire';
 import { Command, InvalidArgumentError, Option } from 'commander';
-import type { InForce } from './config-client.js';
-import { ConfigClient, StaleVersionError, UnreachableError } from './config-client.js';
 import { parseConfigFile } from './config-file.js';
 
 /** How the command ends. */
@@ -104,11 +103,15 @@
 }
 
 /** Nodes that the variable names, for operators who always ask the same. */
-const USUAL_NODES: readonly string[] = (process.env['SPURBRIDGE_NODES'] ?? '').split(',').filter((x) => x !== '');
+const USUAL_NODES: readonly string[] = (process.env['SPURBRIDGE_NODES'] ?? '')
+  .split(',')
+  .filter((x) => x !== '');
 
 function command(name: string, what: string): Command {
   const node = new Option('--node <address>', 'a controller node, IPv4:port; may be given several times')
-    .argParser((text: string, before: readonly string[]) => address(text, before === USUAL_NODES ? [] : before))
+    .argParser((text: string, before: readonly string[]) =>
+      address(text, before === USUAL_NODES ? [] : before),
+    )
     .default(USUAL_NODES, 'SPURBRIDGE_NODES, separated by commas');
   return new Command(name).description(what).addOption(node);
 }
--- a/packages/daemon/src/configuration-routes.ts
+++ b/packages/daemon/src/configuration-routes.ts
@@ -1,15 +1,8 @@
 import type { Configuration, ConfigurationEditor, ProposalOutcome } from '@spurbridge/configuration';
-import { parseProposal } from '@spurbridge/configuration';
+import { CONFIGURATION_PATHS, parseProposal } from '@spurbridge/configuration';
 import type { NodeConfiguration } from '@spurbridge/controller';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 
-export const CONFIGURATION_PATHS = {
-  current: '/configuration',
-  changes: '/configuration/changes',
-  history: '/configuration/history',
-  status: '/configuration/status',
-} as const;
-
 export interface ConfigurationRouteParts {
   readonly editor: ConfigurationEditor;
   /** Which version each node goes by. */
--- a/packages/scale/src/command.ts
+++ b/packages/scale/src/command.ts
@@ -158,6 +158,17 @@
       "shares of one region's part (1/16), then numbers of regions",
       '1/16,1/8,1/4,1/2,1,2,4',
     )
+    .option('--deploy <file>', 'whose start line the controllers are started by', 'deploy/service.toml')
+    .option(
+      '--changes <n>',
+      'changes of configuration an hour in each region (deploy/live-configuration.toml)',
+      '0',
+    )
+    .option(
+      '--end-leader-every <n>',
+      'the leader ends this often, in seconds, and is back at once; 0: never',
+      '0',
+    )
     .option('--no-troubles', "no troubles at one region's whole part")
     .option('--keep <name>', `keep the result under ${KEPT_IN}`)
     .option('--smoke', 'twenty workers for ten seconds')
--- a/packages/scale/src/options.ts
+++ b/packages/scale/src/options.ts
@@ -1,3 +1,5 @@
+import { existsSync } from 'node:fs';
+
 /** What a scale run is asked to play; all counts are of the whole deployment. */
 export interface ScaleOptions {
   readonly workers: number;
@@ -17,6 +19,12 @@
   readonly steps: readonly Step[];
   /** Whether troubles are played at the whole part of one region. */
   readonly troubles: boolean;
+  /** Whose start line the controllers are started by. */
+  readonly deployFile: string;
+  /** Changes of configuration an hour in each region; 0: none. */
+  readonly changes: number;
+  /** The leader of each region is ended this often, in seconds, and back at once; 0: never. */
+  readonly endLeaderEvery: number;
 }
 
 /** How much of the deployment one step plays: so many regions, each with this share of its part. */
@@ -48,9 +56,10 @@
 const MOST_PROCESSES = 200;
 const MOST_SECONDS = 3600;
 
+type CountField = Exclude<keyof ScaleOptions, 'steps' | 'troubles' | 'deployFile'>;
+
 interface CountRule {
-  readonly field:
-    'workers' | 'regions' | 'zones' | 'teams' | 'starts' | 'running' | 'nodes' | 'seconds' | 'seed';
+  readonly field: CountField;
   readonly least: number;
   readonly most: number;
 }
@@ -65,6 +74,8 @@
   { field: 'nodes', least: 1, most: 9 },
   { field: 'seconds', least: 1, most: MOST_SECONDS },
   { field: 'seed', least: 0, most: 2 ** 31 },
+  { field: 'changes', least: 0, most: 36_000 },
+  { field: 'endLeaderEvery', least: 0, most: MOST_SECONDS },
 ];
 
 /** Reads `1/16` as a share of one region's part, and a whole number as so many regions' whole parts. */
@@ -77,15 +88,20 @@
   return /^[1-9]\d?$/.test(text) ? { regions: Number(text), share: 1 } : null;
 }
 
+/** A flag's name on the command line. */
+function flagOf(field: string): string {
+  return field.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
 /** Checks all flags; throws an `OptionsError` that names every wrong one. */
 export function parseOptions(raw: RawOptions): ScaleOptions {
   const mistakes: string[] = [];
-  const counts = {} as Record<CountRule['field'], number>;
+  const counts = {} as Record<CountField, number>;
   for (const { field, least, most } of COUNTS) {
     const text = String(raw[field]);
     const value = /^\d{1,10}$/.test(text) ? Number(text) : NaN;
     if (!(value >= least && value <= most))
-      mistakes.push(`--${field}: a whole number from ${least} to ${most}, not '${text}'`);
+      mistakes.push(`--${flagOf(field)}: a whole number from ${least} to ${most}, not '${text}'`);
     counts[field] = value;
   }
   const steps = String(raw['steps'])
@@ -101,9 +117,11 @@
   if (counts.workers < counts.zones) mistakes.push('--workers: fewer than --zones');
   if (counts.running < counts.starts)
     mistakes.push('--running: less than --starts, tasks would run under a second');
+  const deployFile = String(raw['deploy']);
+  if (!existsSync(deployFile)) mistakes.push(`--deploy: there is no file '${deployFile}'`);
   const perRegion = counts.nodes + 3 + Math.ceil(counts.zones / counts.regions);
   if (perRegion * Math.max(0, ...steps.map((s) => s.regions)) > MOST_PROCESSES)
     mistakes.push(`--nodes: more than ${MOST_PROCESSES} processes in all`);
   if (mistakes.length > 0) throw new OptionsError(mistakes);
-  return { ...counts, steps, troubles: raw['troubles'] !== false };
+  return { ...counts, steps, troubles: raw['troubles'] !== false, deployFile };
 }
--- a/packages/scale/src/region.ts
+++ b/packages/scale/src/region.ts
@@ -13,8 +13,6 @@
 import type { WorkloadShape } from './workload.js';
 
 const CHILD_PROGRAM = 'target/scale-child.js';
-const DEPLOY_FILE = 'deploy/service.toml';
-const SERVICE_PROGRAM = 'target/main.js';
 /** Some workers have a process of their own each, so that the processor time and memory of one can be read. */
 export const LONE_WORKERS = ['worker 1', 'worker 2', 'worker 3'] as const;
 
@@ -27,11 +25,10 @@
   readonly unexpected: (name: string, code: number | null) => void;
 }
 
-/** Node's own flags of the shipped start line. */
-function shippedFlags(): string[] {
-  const { run } = parse(readFileSync(DEPLOY_FILE, 'utf8')) as { run: string };
-  const words = run.split(' ');
-  return words.slice(1, words.indexOf(SERVICE_PROGRAM));
+/** Flags and program of the start line in a deploy file, without the path of the settings that comes last. */
+function startLine(deployFile: string): string[] {
+  const { run } = parse(readFileSync(deployFile, 'utf8')) as { run: string };
+  return run.split(' ').slice(1);
 }
 
 /** How often a controller logged each message, and who leads. */
@@ -58,6 +55,7 @@
     private readonly workloadShape: WorkloadShape,
     private readonly processes: Processes,
     private readonly events: RegionEvents,
+    private readonly deployFile: string,
   ) {
     this.workload = new Workload(workloadShape);
   }
@@ -66,7 +64,8 @@
     return this.workload.find(id);
   }
 
-  private get nodes(): NodeAddress[] {
+  /** The controller nodes and where they listen. */
+  get nodes(): NodeAddress[] {
     const { region, nodes } = this.shape;
     return Array.from({ length: nodes }, (_, n) => ({
       name: nodeName(region, n),
@@ -148,7 +147,7 @@
     const name = nodeName(this.shape.region, node);
     this.controllers[node] = this.processes.start({
       name,
-      args: [...shippedFlags(), SERVICE_PROGRAM, '--config', file],
+      args: [...startLine(this.deployFile), file],
       env: { LOG_LEVEL: 'info', NODE_OPTIONS: '' },
       hasChannel: false,
       onLine: (line) => {
--- a/packages/scale/src/results.ts
+++ b/packages/scale/src/results.ts
@@ -1,3 +1,4 @@
+import type { ConfigurationResult } from './configuration-load.js';
 import type { LatencySummary } from './messages.js';
 
 /** What one process of a role used while it was measured. */
@@ -68,6 +69,8 @@
   readonly elections: number;
   readonly brokenRules: readonly string[];
   readonly troubles: readonly TroubleResult[];
+  /** Changes of configuration of the first region; null: none were made. */
+  readonly configuration: ConfigurationResult | null;
   /** Share of the machine's cores that all processes on it used, and memory that those of the run held. */
   readonly machineCpu: number;
   readonly memoryMb: number;
--- a/packages/scale/src/step-run.ts
+++ b/packages/scale/src/step-run.ts
@@ -3,6 +3,8 @@
 import { RuleChecker } from '@spurbridge/testkit';
 import type { JobId, JobSpec } from '@spurbridge/wire';
 import { MACHINE_CPUS } from './cloud-server.js';
+import { ConfigurationLoad } from './configuration-load.js';
+import type { ConfigurationResult } from './configuration-load.js';
 import type { RegionShape } from './controller-settings.js';
 import { RUN_SETTINGS, limitOf } from './controller-settings.js';
 import type { RunEvent } from './events.js';
@@ -16,6 +18,7 @@
 import type { RoleName, RoleUsage, StepResult, TroubleResult } from './results.js';
 import { Tally } from './tally.js';
 import type { Trouble } from './troubles.js';
+import { QUICKLY_S, endLeader } from './troubles.js';
 import { MachineLoad, UsageWatch, meanUsage } from './usage.js';
 import { JOBS_A_REGION } from './workload.js';
 
@@ -109,21 +112,27 @@
       zones: this.zonesOf(region),
     };
     this.regions.push(
-      new Region(this.shapeOf(region), workload, this.processes, {
-        batch: (source, events, until) => {
-          this.order.batch(source, events, until);
+      new Region(
+        this.shapeOf(region),
+        workload,
+        this.processes,
+        {
+          batch: (source, events, until) => {
+            this.order.batch(source, events, until);
+          },
+          begins: (source) => {
+            this.order.add(source, this.time.now);
+          },
+          ended: (source) => {
+            this.order.remove(source);
+          },
+          unexpected: (name, code) => {
+            this.ends.push(`${name} (${code ?? 'signal'})`);
+            this.say(`  ${name} ended by itself: ${code ?? 'signal'}`);
+          },
         },
-        begins: (source) => {
-          this.order.add(source, this.time.now);
-        },
-        ended: (source) => {
-          this.order.remove(source);
-        },
-        unexpected: (name, code) => {
-          this.ends.push(`${name} (${code ?? 'signal'})`);
-          this.say(`  ${name} ended by itself: ${code ?? 'signal'}`);
-        },
-      }),
+        this.o.deployFile,
+      ),
     );
   }
 
@@ -169,14 +178,32 @@
     const warmS = this.warmS;
     await this.watch(warmS, 'warming up');
     this.tally.reset();
+    const load = this.configurationLoad();
+    const ends = this.endLeaders();
     const stretch = await this.measure(this.o.seconds);
-    const result = this.result(stretch, warmS);
+    clearInterval(ends);
+    const configuration = (await load?.end()) ?? null;
+    const result = this.result(stretch, warmS, configuration);
     const troubled: TroubleResult[] = [];
     for (const trouble of troubles) troubled.push(await this.trouble(trouble));
     await this.drain();
     return { ...result, troubles: troubled, ends: this.ends, brokenRules: this.brokenRules() };
   }
 
+  private configurationLoad(): ConfigurationLoad | null {
+    const region = this.regions[0];
+    if (region === undefined || this.o.changes === 0) return null;
+    return new ConfigurationLoad(region.shape, region.nodes, this.o.changes);
+  }
+
+  private endLeaders(): NodeJS.Timeout | undefined {
+    const everyS = this.o.endLeaderEvery;
+    if (everyS === 0) return undefined;
+    return setInterval(() => {
+      for (const region of this.regions) void endLeader(region, QUICKLY_S, (s) => this.sleep(s));
+    }, everyS * 1000);
+  }
+
   private get warmS(): number {
     const meanRunS = this.regions[0]?.workload.meanRunS ?? 0;
     return Math.max(LEAST_WARM_S, Math.ceil(meanRunS * WARM_RUNS));
@@ -263,7 +290,7 @@
 
   // --- what came of it -----------------------------------------------------------------------------
 
-  private result(s: Stretch, warmS: number): StepResult {
+  private result(s: Stretch, warmS: number, configuration: ConfigurationResult | null): StepResult {
     const { o, step, tally } = this;
     const regions = this.regions.length;
     const counted = (of: (r: Region) => RunProcess | null, kind: string): number =>
@@ -312,6 +339,7 @@
       ),
       brokenRules: this.brokenRules(),
       troubles: [],
+      configuration,
       machineCpu: round(s.machineCpu),
       memoryMb: Math.round(running.reduce((sum, p) => sum + (s.usage(p)?.residentMb ?? 0), 0)),
     };
--- a/packages/scale/src/troubles.ts
+++ b/packages/scale/src/troubles.ts
@@ -8,11 +8,14 @@
   readonly play: (region: Region, sleep: (seconds: number) => Promise<void>) => Promise<void>;
 }
 
+/** A process may be back within a fraction of a second. */
+export const QUICKLY_S = 0.2;
 const RACK_MACHINES = 40;
 const ZONE_STOP_S = 40;
 const RESTARTS = 2;
 
-async function endLeader(
+/** Ends the leader's process; it is started again after so many seconds. */
+export async function endLeader(
   region: Region,
   backS: number,
   sleep: (seconds: number) => Promise<void>,
@@ -30,7 +33,7 @@
   {
     name: 'leader ended, back after 0.2 s',
     watchS: 30,
-    play: (region, sleep) => endLeader(region, 0.2, sleep),
+    play: (region, sleep) => endLeader(region, QUICKLY_S, sleep),
   },
   {
     name: 'leader ended, back after 8 s',
--- a/packages/scale/test/options.test.ts
+++ b/packages/scale/test/options.test.ts
@@ -13,6 +13,9 @@
   seconds: '60',
   seed: '1',
   steps: '1/16,1,4',
+  changes: '0',
+  endLeaderEvery: '0',
+  deploy: 'deploy/service.toml',
 };
 
 test('flags are read, and steps are shares of one region and then whole regions', () => {
@@ -26,12 +29,28 @@
 });
 
 test('all mistakes of the flags are named at once', () => {
-  const wrong = { ...GOOD, workers: '-3', teams: 'many', zones: '2', steps: '1/16,0,half' };
+  const wrong = {
+    ...GOOD,
+    workers: '-3',
+    teams: 'many',
+    zones: '2',
+    steps: '1/16,0,half',
+    endLeaderEvery: 'x',
+    deploy: 'no/such',
+  };
   assert.throws(
     () => parseOptions(wrong),
     (e: unknown) => {
       assert.ok(e instanceof OptionsError);
-      for (const field of ['--workers', '--teams', '--zones', "'0'", "'half'"])
+      for (const field of [
+        '--workers',
+        '--teams',
+        '--zones',
+        "'0'",
+        "'half'",
+        '--end-leader-every',
+        '--deploy',
+      ])
         assert.ok(e.message.includes(field), `${field} in ${e.message}`);
       return true;
     },
