--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,4 +1,4 @@
-import { scaleCommand } from '@spurbridge/scale';
+import { capacityCommand, scaleCommand } from '@spurbridge/scale';
 import { Command } from 'commander';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
@@ -72,6 +72,7 @@
     process.stdout.write(`${JSON.stringify(result)}\n`);
   })
   .addCommand(scaleCommand())
+  .addCommand(capacityCommand())
   .parseAsync()
   .catch((e: unknown) => {
     process.stderr.write(`${e instanceof Error ? (e.stack ?? e.message) : String(e)}\n`);
--- a/packages/scale/src/command.ts
+++ b/packages/scale/src/command.ts
@@ -2,6 +2,7 @@
 import { cpus, totalmem } from 'node:os';
 import { join } from 'node:path';
 import { Command } from 'commander';
+import { KEPT_RUNS } from './capacity-command.js';
 import type { RawOptions, ScaleOptions, Step } from './options.js';
 import { OptionsError, PLAN, parseOptions } from './options.js';
 import { ProcessError } from './processes.js';
@@ -10,7 +11,7 @@
 import { TROUBLES } from './troubles.js';
 
 const PROGRAMS = ['target/main.js', 'target/scale-child.js'];
-const KEPT_IN = 'docs/capacity';
+
 const MB = 1e6;
 /** Steps are not raised beyond these shares of the machine. */
 const MOST_CPU = 0.85;
@@ -100,8 +101,8 @@
 }
 
 function keep(result: ScaleResult, name: string): void {
-  mkdirSync(KEPT_IN, { recursive: true });
-  writeFileSync(join(KEPT_IN, `${name}.json`), `${JSON.stringify(result, null, 1)}\n`);
+  mkdirSync(KEPT_RUNS, { recursive: true });
+  writeFileSync(join(KEPT_RUNS, `${name}.json`), `${JSON.stringify(result, null, 1)}\n`);
 }
 
 function fail(message: string, exitCode: number): void {
@@ -170,7 +171,7 @@
       '0',
     )
     .option('--no-troubles', "no troubles at one region's whole part")
-    .option('--keep <name>', `keep the result under ${KEPT_IN}`)
+    .option('--keep <name>', `keep the result under ${KEPT_RUNS}`)
     .option('--smoke', 'twenty workers for ten seconds')
     .option('--short', 'a hundred workers for half a minute')
     .configureOutput({ outputError: (text, write) => write(text) })
--- a/packages/testkit/src/drawn.ts
+++ b/packages/testkit/src/drawn.ts
@@ -1,5 +1,5 @@
 import type { JobId, JobSpec, MachineId } from '@spurbridge/wire';
-import { TEAMS, TYPES, ZONES, jobSpec } from './fixtures.js';
+import { TEAMS, TYPES, ZONES, jobId, jobSpec } from './fixtures.js';
 import { STATE_HOST } from './state.js';
 import type { WorldOptions } from './world.js';
 import { CLOUD_HOST, World } from './world.js';
@@ -182,7 +182,3 @@
   });
   return w;
 }
-
-export function jobId(n: number): JobId {
-  return `wk-${String(n).padStart(6, '0')}` as JobId;
-}
--- a/packages/testkit/src/fixtures.ts
+++ b/packages/testkit/src/fixtures.ts
@@ -53,3 +53,7 @@
     ...over,
   };
 }
+
+export function jobId(n: number): JobId {
+  return `wk-${String(n).padStart(6, '0')}` as JobId;
+}
--- a/packages/testkit/src/meetings.ts
+++ b/packages/testkit/src/meetings.ts
@@ -1,5 +1,6 @@
 import type { MachineId } from '@spurbridge/wire';
-import { CALM_MS, drawBackMs, jobId } from './drawn.js';
+import { CALM_MS, drawBackMs } from './drawn.js';
+import { jobId } from './fixtures.js';
 import type { Faults } from './faults.js';
 import { jobSpec } from './fixtures.js';
 import { leaderIndex } from './losses.js';
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -1,7 +1,7 @@
 import type { Answer } from '@spurbridge/controller';
 import type { JobId, JobSpec } from '@spurbridge/wire';
 import { formatSubmission } from '@spurbridge/wire';
-import { jobId } from './drawn.js';
+import { jobId } from './fixtures.js';
 import type { World } from './world.js';
 
 const USER_HOST = 'user';
