--- a/packages/scale/src/capacity.ts
+++ b/packages/scale/src/capacity.ts
@@ -311,7 +311,7 @@
 function configurationTable(results: readonly NamedResult[]): string {
   const rows = results.flatMap(({ name, result }) =>
     result.steps.flatMap((s) => {
-      const c = s.configuration;
+      const c = s.configuration ?? null;
       if (c === null) return [];
       return [
         [
@@ -362,7 +362,7 @@
   if (plan === undefined) throw new Error(`there is no kept run called ${PLAN_RUN}`);
   const regional = plan.steps.filter((s) => s.regions === 1);
   const others = results.filter(
-    (r) => r.name !== PLAN_RUN && r.result.steps.some((s) => s.configuration === null),
+    (r) => r.name !== PLAN_RUN && r.result.steps.some((s) => (s.configuration ?? null) === null),
   );
   return [
     `Run of ${plan.at.slice(0, 10)}, seed ${plan.seed}, ${plan.cores} cores, ${plan.memoryMb} MB. It ended: ${plan.stopped}.`,
--- a/packages/scale/src/messages.ts
+++ b/packages/scale/src/messages.ts
@@ -17,6 +17,8 @@
   readonly writeRps: number;
   readonly valueKb: number;
   readonly txnOps: number;
+  /** Records of jobs that ended before, there from the start. */
+  readonly endedJobs: number;
 }
 
 export interface CloudRole {
--- a/packages/scale/src/options.ts
+++ b/packages/scale/src/options.ts
@@ -25,6 +25,8 @@
   readonly changes: number;
   /** The leader of each region is ended this often, in seconds, and back at once; 0: never. */
   readonly endLeaderEvery: number;
+  /** Records of jobs that ended before, in each region. */
+  readonly endedJobs: number;
 }
 
 /** How much of the deployment one step plays: so many regions, each with this share of its part. */
@@ -76,6 +78,7 @@
   { field: 'seed', least: 0, most: 2 ** 31 },
   { field: 'changes', least: 0, most: 36_000 },
   { field: 'endLeaderEvery', least: 0, most: MOST_SECONDS },
+  { field: 'endedJobs', least: 0, most: 5_000_000 },
 ];
 
 /** Reads `1/16` as a share of one region's part, and a whole number as so many regions' whole parts. */
--- a/packages/scale/src/region.ts
+++ b/packages/scale/src/region.ts
@@ -25,6 +25,14 @@
   readonly unexpected: (name: string, code: number | null) => void;
 }
 
+/** How a region begins. */
+export interface Launch {
+  /** Whose start line the controllers are started by. */
+  readonly deployFile: string;
+  /** Records of jobs that ended before. */
+  readonly endedJobs: number;
+}
+
 /** Flags and program of the start line in a deploy file, without the path of the settings that comes last. */
 function startLine(deployFile: string): string[] {
   const { run } = parse(readFileSync(deployFile, 'utf8')) as { run: string };
@@ -49,13 +57,16 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'spurbridge-scale-'));
   private readonly hostOf = new Map<MachineId, string>();
   private placed = 0;
+  private startedAt = 0;
+  /** From the start of the controllers until one of them first had read its records and led, in milliseconds. */
+  readyMs: number | null = null;
 
   constructor(
     readonly shape: RegionShape,
     private readonly workloadShape: WorkloadShape,
     private readonly processes: Processes,
     private readonly events: RegionEvents,
-    private readonly deployFile: string,
+    private readonly launch: Launch,
   ) {
     this.workload = new Workload(workloadShape);
   }
@@ -84,6 +95,7 @@
       writeRps,
       valueKb,
       txnOps,
+      endedJobs: this.launch.endedJobs,
     });
     await this.state.ready();
     for (const host of [...zones, ...LONE_WORKERS]) {
@@ -108,6 +120,7 @@
       seed: this.workloadShape.seed,
     });
     await this.cloud.ready();
+    this.startedAt = performance.now();
     for (let node = 0; node < this.shape.nodes; node += 1) this.startController(node);
   }
 
@@ -147,7 +160,7 @@
     const name = nodeName(this.shape.region, node);
     this.controllers[node] = this.processes.start({
       name,
-      args: [...startLine(this.deployFile), file],
+      args: [...startLine(this.launch.deployFile), file],
       env: { LOG_LEVEL: 'info', NODE_OPTIONS: '' },
       hasChannel: false,
       onLine: (line) => {
@@ -163,6 +176,8 @@
     const message = /"msg":"([^"]*)"/.exec(line)?.[1];
     if (message === undefined) return;
     log.messages.set(message, (log.messages.get(message) ?? 0) + 1);
+    if (message === 'leader ready' && this.readyMs === null)
+      this.readyMs = performance.now() - this.startedAt;
     if (message === 'leading') log.leadsSince = performance.now();
     else if (message === 'no longer leading') log.leadsSince = null;
   }
--- a/packages/scale/src/results.ts
+++ b/packages/scale/src/results.ts
@@ -66,11 +66,15 @@
   readonly killedByLease: number;
   /** Processes that ended though nobody asked them to. */
   readonly ends: readonly string[];
+  /** From the start of the controllers until one leads and has read its records, in seconds; null: none did. */
+  readonly readySeconds: number | null;
+  /** Records of ended jobs that were there from the start. */
+  readonly endedJobs: number;
   readonly elections: number;
   readonly brokenRules: readonly string[];
   readonly troubles: readonly TroubleResult[];
   /** Changes of configuration of the first region; null: none were made. */
-  readonly configuration: ConfigurationResult | null;
+  readonly configuration?: ConfigurationResult | null;
   /** Share of the machine's cores that all processes on it used, and memory that those of the run held. */
   readonly machineCpu: number;
   readonly memoryMb: number;
--- a/packages/scale/src/state-server.ts
+++ b/packages/scale/src/state-server.ts
@@ -1,6 +1,8 @@
 import { SteadyTimeline } from '@spurbridge/hollow';
-import { SimState } from '@spurbridge/testkit';
-import type { LeaseId, Revision, Version } from '@spurbridge/wire';
+import type { WallMs } from '@spurbridge/model';
+import { encodeJob, jobKey } from '@spurbridge/model';
+import { SimState, jobSpec } from '@spurbridge/testkit';
+import type { Item, JobId, LeaseId, Revision, Version } from '@spurbridge/wire';
 import {
   PATHS,
   formatEvents,
@@ -23,6 +25,7 @@
 const KEEP_EVERY_MS = 1000;
 const MOST_ITEMS = 1000;
 const MOST_WAIT_MS = 60_000;
+const TEAMS_OF_OLD_JOBS = 50;
 
 interface ListQuery {
   readonly starts?: string;
@@ -40,6 +43,11 @@
 export class StateServer {
   readonly app: FastifyInstance = jsonServer();
   private readonly state: SimState;
+  private listed: {
+    readonly prefix: string;
+    readonly revision: Revision;
+    readonly items: readonly Item[];
+  } | null = null;
 
   constructor(
     role: Pick<StateRole, 'rps' | 'writeRps' | 'valueKb' | 'txnOps'>,
@@ -52,6 +60,16 @@
     this.routes();
   }
 
+  /** Puts records of jobs that ended long ago in place, as the controllers write them. */
+  remember(endedJobs: number): void {
+    for (let n = 0; n < endedJobs; n += 1) {
+      const spec = jobSpec({ id: `wk-old-${n}` as JobId, team: `team-${n % TEAMS_OF_OLD_JOBS}` });
+      const record = { spec, phase: 'done' as const, at: 0 as WallMs, chunkSize: 256 };
+      this.state.commit([], [{ put: jobKey(spec.id), value: encodeJob(record) }]);
+    }
+    this.state.keepLatest(0);
+  }
+
   private get revision(): Revision {
     return this.state.now();
   }
@@ -119,12 +137,21 @@
   }
 
   private list(query: ListQuery, reply: FastifyReply): void {
-    const listed = this.state.list(query.starts ?? '');
-    if (listed.outcome !== 'listed') return;
+    const items = this.itemsBelow(query.starts ?? '');
     const from = query.from ?? '';
-    const later = listed.items.filter((i) => i.key > from);
+    const first = from === '' ? 0 : firstAfter(items, from);
     const most = Math.min(MOST_ITEMS, Number(query.most ?? MOST_ITEMS));
-    void reply.send(formatItems(later.slice(0, most), later.length > most, listed.revision));
+    const page = items.slice(first, first + most);
+    void reply.send(formatItems(page, first + most < items.length, this.revision));
+  }
+
+  /** All items of a prefix; kept while nothing changes, so that the pages of one list cost one look. */
+  private itemsBelow(prefix: string): readonly Item[] {
+    if (this.listed?.prefix === prefix && this.listed.revision === this.revision) return this.listed.items;
+    const listed = this.state.list(prefix);
+    const items = listed.outcome === 'listed' ? listed.items : [];
+    this.listed = { prefix, revision: this.revision, items };
+    return items;
   }
 
   private follow(query: FollowQuery, reply: FastifyReply): void {
@@ -149,9 +176,22 @@
   }
 }
 
+/** Index of the first item whose key comes after this one; the items are in the order of their keys. */
+function firstAfter(items: readonly Item[], key: string): number {
+  let low = 0;
+  let high = items.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((items[middle] as Item).key > key) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
 /** A process that is the state service of one region. */
 export async function runState(role: StateRole, meter: Meter): Promise<void> {
   const server = new StateServer(role, meter);
+  server.remember(role.endedJobs);
   await server.app.listen(splitAddress(role.listen));
   obey((order) => {
     if (order.order === 'read') tell({ notice: 'reading', reading: meter.read() });
--- a/packages/scale/src/step-run.ts
+++ b/packages/scale/src/step-run.ts
@@ -131,7 +131,7 @@
             this.say(`  ${name} ended by itself: ${code ?? 'signal'}`);
           },
         },
-        this.o.deployFile,
+        this.o,
       ),
     );
   }
@@ -333,6 +333,8 @@
       users: this.userCounts(s),
       killedByLease: this.killed(s.after) - this.killed(s.before),
       ends: [...this.ends],
+      readySeconds: this.regions[0]?.readyMs === null ? null : round((this.regions[0]?.readyMs ?? 0) / 1000),
+      endedJobs: o.endedJobs,
       elections: this.regions.reduce(
         (n, r) => n + r.logs.reduce((k, log) => k + (log.messages.get('leading') ?? 0), 0),
         0,
--- a/packages/scale/test/configuration.test.ts
+++ b/packages/scale/test/configuration.test.ts
@@ -36,7 +36,8 @@
   ended: () => undefined,
   unexpected: () => undefined,
 };
-const region = new Region(shape, nothing, processes, silent, 'deploy/live-configuration.toml');
+const launch = { deployFile: 'deploy/live-configuration.toml', endedJobs: 0 };
+const region = new Region(shape, nothing, processes, silent, launch);
 
 function config(...args: string[]): Promise<Ended> {
   const nodes = region.nodes.flatMap((n) => ['--node', n.address]);
--- a/packages/scale/test/options.test.ts
+++ b/packages/scale/test/options.test.ts
@@ -15,6 +15,7 @@
   steps: '1/16,1,4',
   changes: '0',
   endLeaderEvery: '0',
+  endedJobs: '0',
   deploy: 'deploy/service.toml',
 };
 
