--- a/packages/scale/src/command.ts
+++ b/packages/scale/src/command.ts
@@ -170,6 +170,7 @@
       'the leader ends this often, in seconds, and is back at once; 0: never',
       '0',
     )
+    .option('--first-region <n>', 'number of the first region: addresses of runs at once differ by it', '0')
     .option('--ended-jobs <n>', 'records of jobs that ended before, in each region', '0')
     .option('--no-troubles', "no troubles at one region's whole part")
     .option('--keep <name>', `keep the result under ${KEPT_RUNS}`)
--- a/packages/scale/src/options.ts
+++ b/packages/scale/src/options.ts
@@ -25,6 +25,8 @@
   readonly changes: number;
   /** The leader of each region is ended this often, in seconds, and back at once; 0: never. */
   readonly endLeaderEvery: number;
+  /** Number of the first region: runs at once on one machine need addresses of their own. */
+  readonly firstRegion: number;
   /** Records of jobs that ended before, in each region. */
   readonly endedJobs: number;
 }
@@ -78,6 +80,7 @@
   { field: 'seed', least: 0, most: 2 ** 31 },
   { field: 'changes', least: 0, most: 36_000 },
   { field: 'endLeaderEvery', least: 0, most: MOST_SECONDS },
+  { field: 'firstRegion', least: 0, most: 60 },
   { field: 'endedJobs', least: 0, most: 5_000_000 },
 ];
 
--- a/packages/scale/src/step-run.ts
+++ b/packages/scale/src/step-run.ts
@@ -63,7 +63,7 @@
   ) {
     this.tally = new Tally((id) => this.find(id));
     this.checker = new RuleChecker(() => this.eventAt, this.teams(), RUN_SETTINGS.workers.cancel_s * 1000);
-    for (let region = 0; region < step.regions; region += 1) this.addRegion(region);
+    for (let region = 0; region < step.regions; region += 1) this.addRegion(o.firstRegion + region);
   }
 
   /** What one region's part is multiplied with. */
--- a/packages/scale/test/options.test.ts
+++ b/packages/scale/test/options.test.ts
@@ -16,6 +16,7 @@
   changes: '0',
   endLeaderEvery: '0',
   endedJobs: '0',
+  firstRegion: '0',
   deploy: 'deploy/service.toml',
 };
 
