--- a/packages/scale/src/messages.ts
+++ b/packages/scale/src/messages.ts
@@ -17,8 +17,6 @@
   readonly writeRps: number;
   readonly valueKb: number;
   readonly txnOps: number;
-  /** Records of jobs that ended before, there from the start. */
-  readonly endedJobs: number;
 }
 
 export interface CloudRole {
@@ -67,6 +65,8 @@
   | { readonly order: 'up'; readonly machines: readonly MachineUp[] }
   | { readonly order: 'end'; readonly machines: readonly MachineId[] }
   | { readonly order: 'fail'; readonly machines: readonly MachineId[] }
+  /** To the state service: records of so many jobs that ended long ago are there from now on. */
+  | { readonly order: 'remember'; readonly endedJobs: number }
   | { readonly order: 'read' };
 
 /** Distribution of a latency, in milliseconds. */
@@ -94,6 +94,7 @@
 /** From a process to the driver. */
 export type Notice =
   | { readonly notice: 'ready' }
+  | { readonly notice: 'remembered' }
   | { readonly notice: 'events'; readonly events: readonly RunEvent[]; readonly until: number }
   | { readonly notice: 'up'; readonly machines: readonly MachineUp[] }
   | { readonly notice: 'ended'; readonly machines: readonly MachineId[] }
--- a/packages/scale/src/region.ts
+++ b/packages/scale/src/region.ts
@@ -25,6 +25,9 @@
   readonly unexpected: (name: string, code: number | null) => void;
 }
 
+const LOOK_MS = 20;
+const MOST_READY_MS = 180_000;
+
 /** How a region begins. */
 export interface Launch {
   /** Whose start line the controllers are started by. */
@@ -58,6 +61,7 @@
   private readonly hostOf = new Map<MachineId, string>();
   private placed = 0;
   private startedAt = 0;
+  private onRemembered: () => void = () => undefined;
   /** From the start of the controllers until one of them first had read its records and led, in milliseconds. */
   readyMs: number | null = null;
 
@@ -95,7 +99,6 @@
       writeRps,
       valueKb,
       txnOps,
-      endedJobs: this.launch.endedJobs,
     });
     await this.state.ready();
     for (const host of [...zones, ...LONE_WORKERS]) {
@@ -120,10 +123,34 @@
       seed: this.workloadShape.seed,
     });
     await this.cloud.ready();
+    this.startControllers();
+    if (this.launch.endedJobs > 0) await this.startAgainWithEndedJobs();
+  }
+
+  private startControllers(): void {
     this.startedAt = performance.now();
+    this.readyMs = null;
     for (let node = 0; node < this.shape.nodes; node += 1) this.startController(node);
   }
 
+  /** All controllers end and start again, with the records of many ended jobs to be read. */
+  private async startAgainWithEndedJobs(): Promise<void> {
+    await this.ready();
+    const remembered = new Promise<void>((resolve) => (this.onRemembered = resolve));
+    this.state?.order({ order: 'remember', endedJobs: this.launch.endedJobs });
+    await remembered;
+    await Promise.all(this.controllers.map((p) => p.end()));
+    this.startControllers();
+    await this.ready();
+  }
+
+  /** Waits until a leader has read its records, for as long as that may take at the most. */
+  private async ready(): Promise<void> {
+    const until = performance.now() + MOST_READY_MS;
+    while (this.readyMs === null && performance.now() < until)
+      await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+  }
+
   async startUsers(): Promise<void> {
     this.users = this.child('users', { role: 'users', nodes: this.nodes, workload: this.workloadShape });
     await this.users.ready();
@@ -205,6 +232,9 @@
       case 'ended':
         for (const id of notice.machines) this.endMachine(id);
         return;
+      case 'remembered':
+        this.onRemembered();
+        return;
       case 'ready':
       case 'reading':
     }
--- a/packages/scale/src/state-server.ts
+++ b/packages/scale/src/state-server.ts
@@ -191,10 +191,13 @@
 /** A process that is the state service of one region. */
 export async function runState(role: StateRole, meter: Meter): Promise<void> {
   const server = new StateServer(role, meter);
-  server.remember(role.endedJobs);
   await server.app.listen(splitAddress(role.listen));
   obey((order) => {
     if (order.order === 'read') tell({ notice: 'reading', reading: meter.read() });
+    else if (order.order === 'remember') {
+      server.remember(order.endedJobs);
+      tell({ notice: 'remembered' });
+    }
   });
   tell({ notice: 'ready' });
 }
