--- a/packages/controller/src/commands.ts
+++ b/packages/controller/src/commands.ts
@@ -6,7 +6,7 @@
 import { isKeptBack } from './gangs.js';
 import type { Queues } from './queues.js';
 import { answerHorizonMs } from './settings.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 const PUSH_ROUNDS = 5;
 /**
@@ -23,7 +23,7 @@
   private readonly waiting = new Set<MachineId>();
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly queues: Queues,
     /** Takes in the report that a machine answers with. */
@@ -47,7 +47,7 @@
     const m = this.cluster.machines.get(r.machine);
     if (m === undefined || m.session !== r.session) return this.cancelledIn(r);
     if (this.mayStartLate(m)) return null;
-    const isSure = this.tenure.c.leadership.holdsSurely();
+    const isSure = this.term.c.leadership.holdsSurely();
     if (isSure) {
       this.queues.release(m.id);
       this.urgent.delete(m.id);
@@ -67,7 +67,7 @@
   }
 
   private phaseOf(id: JobId): string | null {
-    return this.cluster.jobs.get(id)?.state ?? this.tenure.c.trust.phaseOf(id);
+    return this.cluster.jobs.get(id)?.state ?? this.term.c.trust.phaseOf(id);
   }
 
   /** Whether anything cancelled may be on the machine, or is stopped there by these orders. */
@@ -83,7 +83,7 @@
    */
   private mayStartLate(m: Machine): boolean {
     if (m.unanswered.size === 0) return false;
-    const horizonMs = answerHorizonMs(this.tenure.c.settings);
+    const horizonMs = answerHorizonMs(this.term.c.settings);
     for (const { job, task } of this.cluster.heldOn(m.id)) {
       const p = job.placements.get(task);
       if (
@@ -94,7 +94,7 @@
       )
         continue;
       if (job.cancelledAfter === null) return true;
-      if (this.tenure.c.clock.now() > later(job.cancelledAfter, horizonMs)) return true;
+      if (this.term.c.clock.now() > later(job.cancelledAfter, horizonMs)) return true;
     }
     return false;
   }
@@ -120,7 +120,7 @@
           commands.push({ op: 'start', ...id });
         if (!saving && p.state !== 'intended') commands.push({ op: 'stop', ...id, graceS: p.stop.graceS });
       } else if (p.state === 'starting' && job.state === 'active' && this.isSettled() && this.mayStart(job)) {
-        if (isKeptBack(this.cluster, this.tenure.c.settings, job, p)) continue;
+        if (isKeptBack(this.cluster, this.term.c.settings, job, p)) continue;
         if (repeat || !m.unanswered.has(startName(job.spec.id, task, p.attempt)))
           commands.push({ op: 'start', ...id });
       }
@@ -138,7 +138,7 @@
         continue;
       const id = { job: t.job, task: t.task, attempt: t.attempt };
       if (t.phase !== 'exited') {
-        if (this.isSettled() || this.tenure.c.trust.phaseOf(t.job) === 'cancelled')
+        if (this.isSettled() || this.term.c.trust.phaseOf(t.job) === 'cancelled')
           commands.push({ op: 'stop', ...id, graceS: 0 });
         continue;
       }
@@ -167,7 +167,7 @@
     this.pushing += 1;
     this.pushNow(m)
       .catch((e: unknown) => {
-        this.tenure.c.log.error({ machine: m.id, error: String(e) }, 'direct commands failed');
+        this.term.c.log.error({ machine: m.id, error: String(e) }, 'direct commands failed');
       })
       .finally(() => {
         m.sending = false;
@@ -183,15 +183,15 @@
   private pushNext(): void {
     for (const due of [this.urgent, this.waiting])
       for (const id of due) {
-        if (!this.tenure.active || this.pushing >= MOST_PUSHES) return;
+        if (!this.term.active || this.pushing >= MOST_PUSHES) return;
         due.delete(id);
         this.push(id);
       }
   }
 
   private async pushNow(m: Machine): Promise<void> {
-    const { leadership, workers } = this.tenure.c;
-    for (let round = 0; round < PUSH_ROUNDS && this.tenure.active; round += 1) {
+    const { leadership, workers } = this.term.c;
+    for (let round = 0; round < PUSH_ROUNDS && this.term.active; round += 1) {
       const session = m.session;
       if (session === null || !leadership.holdsSurely()) return;
       const commands = this.commandsFor(m, false);
@@ -199,13 +199,13 @@
       const starts = commands.filter((x) => x.op === 'start').map((x) => startName(x.job, x.task, x.attempt));
       for (const s of starts) m.unanswered.add(s);
       const outcome = await workers.commands(m.address, leadership.token, session, commands);
-      if (!this.tenure.active) return;
-      this.tenure.reach.called(outcome.outcome === 'executed' || outcome.outcome === 'rejected');
+      if (!this.term.active) return;
+      this.term.reach.called(outcome.outcome === 'executed' || outcome.outcome === 'rejected');
       if (outcome.outcome === 'unknown') return;
       if (m.session === session) for (const s of starts) m.unanswered.delete(s);
       if (outcome.outcome === 'unsent') return;
       leadership.observe(outcome.report.token, null);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       this.onReport(outcome.report);
       if (outcome.outcome === 'rejected') return;
     }
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -12,7 +12,7 @@
 import { Demand, fleetView } from './fleet-view.js';
 import { easyMachines, unheardMs } from './settings.js';
 import { Signal } from './signal.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 export const FLEET_KEY = 'fleet';
 const LIST_MS = 3000;
@@ -40,22 +40,22 @@
   private cameInAt: Ms | null = null;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly arrivals: Arrivals,
     /** Whether what is on the machines is known: none is given back as idle before. */
     private readonly mayGiveBack: () => boolean,
   ) {
-    this.demand = new Demand(cluster, tenure.c.types);
+    this.demand = new Demand(cluster, term.c.types);
     cluster.on('up', (m) => {
       m.rented = cluster.isRented(m.id);
-      if (cluster.heldCount(m.id) > 0) this.cameInAt = tenure.c.clock.now();
+      if (cluster.heldCount(m.id) > 0) this.cameInAt = term.c.clock.now();
     });
   }
 
   planned(unmet: readonly Unmet[]): void {
     this.unmet = unmet;
-    this.demand.remember(unmet, this.tenure.c.clock.now());
+    this.demand.remember(unmet, this.term.c.clock.now());
     this.signal.raise();
   }
 
@@ -74,11 +74,11 @@
   // --- listing ---------------------------------------------------------------------------------
 
   private async listLoop(): Promise<void> {
-    const { cloud, clock } = this.tenure.c;
-    while (this.tenure.active) {
+    const { cloud, clock } = this.term.c;
+    while (this.term.active) {
       const askedAt = clock.now();
       const listed = await cloud.list();
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (listed === null) {
         await clock.sleep(1000);
         continue;
@@ -92,7 +92,7 @@
 
   /** The fleet found at the very first start is recorded once; machines are named in order of creation. */
   private async findStanding(listed: readonly ListedMachine[]): Promise<void> {
-    const { store, leadership } = this.tenure.c;
+    const { store, leadership } = this.term.c;
     const found = await store.read(FLEET_KEY, 1);
     if (found.outcome === 'found') {
       this.cluster.setStanding(read.str(read.asObject(found.item.value, FLEET_KEY), 'standingUpTo'));
@@ -154,11 +154,11 @@
   }
 
   private async fleetLoop(): Promise<void> {
-    const { clock, leadership, types } = this.tenure.c;
-    const foundBy = later(this.tenure.electedAt, unheardMs(this.tenure.c.settings));
-    while (this.tenure.active) {
+    const { clock, leadership, types } = this.term.c;
+    const foundBy = later(this.term.electedAt, unheardMs(this.term.c.settings));
+    while (this.term.active) {
       await this.signal.wait(clock, 1000);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (this.cluster.standingUpTo === null || types().length === 0 || !leadership.holdsSurely()) continue;
       if (!this.mayGiveBack()) continue;
       const now = clock.now();
@@ -172,7 +172,7 @@
         policy: {
           frugal: this.cluster.frugal,
           consolidates,
-          easyMachines: easyMachines(this.tenure.c.settings),
+          easyMachines: easyMachines(this.term.c.settings),
           idleS: this.cluster.frugal ? IDLE_RENTED_S : IDLE_STANDING_S,
           targetCpus: target.cpus,
           targetOrdinaryCpus: target.ordinary,
@@ -201,7 +201,7 @@
   }
 
   private async rent(r: Rent): Promise<void> {
-    const { cloud, leadership, clock, log } = this.tenure.c;
+    const { cloud, leadership, clock, log } = this.term.c;
     this.requests += 1;
     const request = {
       // Unique for ever: the token is never given twice, and the number not twice under one token.
@@ -211,9 +211,9 @@
       spot: r.spot,
       count: Math.min(r.count, MAX_RENT),
     };
-    for (let attempt = 0; attempt < 3 && this.tenure.active; attempt += 1) {
+    for (let attempt = 0; attempt < 3 && this.term.active; attempt += 1) {
       const outcome = await cloud.rent(request);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (outcome.outcome === 'rented') {
         for (const id of outcome.machines) this.cluster.describeMachine(id, r.type, r.zone, r.spot);
         log.info({ ...request, got: outcome.machines.length }, 'machines rented');
@@ -231,7 +231,7 @@
   }
 
   private noCapacity(r: Rent): void {
-    const until = later(this.tenure.c.clock.now(), NO_CAPACITY_MS);
+    const until = later(this.term.c.clock.now(), NO_CAPACITY_MS);
     this.refusedUntil.set(`${r.type}/${r.zone}/${r.spot}`, until);
   }
 
@@ -242,20 +242,20 @@
       return;
     }
     if (m.state === 'gone') return;
-    this.tenure.c.log.info({ machine: m.id, type: m.type, spot: m.spot, reason }, 'machine released');
+    this.term.c.log.info({ machine: m.id, type: m.type, spot: m.spot, reason }, 'machine released');
     m.enter('releasing');
     if (atOnce) this.releaseDue.unshift(m.id);
     else this.releaseDue.push(m.id);
   }
 
   private async releaseLoop(): Promise<void> {
-    const { cloud, clock, workers, leadership } = this.tenure.c;
-    while (this.tenure.active) {
+    const { cloud, clock, workers, leadership } = this.term.c;
+    while (this.term.active) {
       await clock.sleep(100);
       if (this.releaseDue.length === 0 || !leadership.holdsSurely()) continue;
       const batch = this.releaseDue.slice(0, MAX_RELEASE);
       const released = await cloud.release(batch, 0);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (!released) {
         await clock.sleep(400);
         continue;
--- a/packages/controller/src/following.ts
+++ b/packages/controller/src/following.ts
@@ -1,7 +1,7 @@
 import type { Ms } from '@spurbridge/net';
 import type { Item, Revision } from '@spurbridge/wire';
 import { answerHorizonMs } from './settings.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 /** Short, so that what is known of cancellations is never much older than that. */
 const WATCH_MS = 2000;
@@ -11,7 +11,7 @@
   private freshAt: Ms | null = null;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly prefix: string,
   ) {}
 
@@ -21,7 +21,7 @@
    * task ran on after it.
    */
   get isFresh(): boolean {
-    return this.ageMs <= answerHorizonMs(this.tenure.c.settings);
+    return this.ageMs <= answerHorizonMs(this.term.c.settings);
   }
 
   /** Every change confirmed to a user before this is known here; null until the records were read. */
@@ -31,7 +31,7 @@
 
   /** How old what is known here is, in milliseconds; Infinity until the records were read. */
   get ageMs(): number {
-    return this.freshAt === null ? Infinity : this.tenure.c.clock.now() - this.freshAt;
+    return this.freshAt === null ? Infinity : this.term.c.clock.now() - this.freshAt;
   }
 
   /** All records were read, by requests that began then. */
@@ -44,12 +44,12 @@
    * service no longer knows the changes.
    */
   async run(from: Revision, take: (items: readonly Item[], whole: boolean) => void): Promise<void> {
-    const { clock, store } = this.tenure.c;
+    const { clock, store } = this.term.c;
     let revision = from;
-    while (this.tenure.active) {
+    while (this.term.active) {
       const askedAt = clock.now();
       const seen = await store.watch(this.prefix, revision, WATCH_MS);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (seen.outcome === 'events') {
         revision = seen.revision;
         if (seen.events.length > 0)
--- a/packages/controller/src/tenure.ts
+++ b/packages/controller/src/leader-term.ts
@@ -50,7 +50,7 @@
 }
 
 /** One node's time as leader, from election to deposition: what every room of the leader shares. */
-export class Tenure {
+export class LeaderTerm {
   readonly electedAt: Ms;
   /** What direct calls to machines say of this node's own network. */
   readonly reach: Reach;
@@ -86,4 +86,4 @@
   readonly isFresh: boolean;
 }
 
-export type RoomFactory = (tenure: Tenure, cluster: Cluster) => Room;
+export type RoomFactory = (term: LeaderTerm, cluster: Cluster) => Room;
--- a/packages/controller/src/leader.ts
+++ b/packages/controller/src/leader.ts
@@ -16,8 +16,8 @@
 import { Served } from './served.js';
 import { Settling } from './settling.js';
 import { Sweeper } from './sweeper.js';
-import type { LeaderContext, Room } from './tenure.js';
-import { Tenure } from './tenure.js';
+import type { LeaderContext, Room } from './leader-term.js';
+import { LeaderTerm } from './leader-term.js';
 
 /** What a report is answered with: orders, and so long its holder may answer the next ones without the leader (ms). */
 export interface Renewal {
@@ -30,7 +30,7 @@
  * work on it. Nothing is decided here.
  */
 export class Leader {
-  private readonly tenure: Tenure;
+  private readonly term: LeaderTerm;
   private readonly cluster: Cluster;
   private readonly records: JobRecords;
   private readonly reports: Reports;
@@ -46,15 +46,15 @@
   private ready = false;
 
   constructor(c: LeaderContext) {
-    const tenure = new Tenure(c);
+    const term = new LeaderTerm(c);
     const cluster = new Cluster({
       clock: c.clock,
       log: c.log,
       types: c.types,
       ageMs: (at) => Math.max(0, c.wallNow() - at),
-      answeredUntil: later(tenure.electedAt, answerHorizonMs(c.settings)),
+      answeredUntil: later(term.electedAt, answerHorizonMs(c.settings)),
     });
-    this.tenure = tenure;
+    this.term = term;
     this.cluster = cluster;
     const estimates = new Estimates();
     cluster.on('learned', ({ spec }) => {
@@ -65,13 +65,13 @@
       () => c.configuration().teams,
       () => c.clock.now(),
     );
-    this.shown = new Progress(tenure, cluster);
-    this.records = new JobRecords(tenure, cluster, (record) => {
+    this.shown = new Progress(term, cluster);
+    this.records = new JobRecords(term, cluster, (record) => {
       arrivals.learned(record.spec, later(c.clock.now(), -Math.max(0, c.wallNow() - record.at)));
     });
-    this.reports = new Reports(tenure, cluster, estimates);
-    this.served = new Served(tenure, cluster);
-    this.settling = new Settling(tenure, cluster, () => this.fleet.listedAt);
+    this.reports = new Reports(term, cluster, estimates);
+    this.served = new Served(term, cluster);
+    this.settling = new Settling(term, cluster, () => this.fleet.listedAt);
     const isSettled = (): boolean => this.settling.isOver;
     const queues = new Queues(cluster, () => c.clock.now());
     const takeReport = (r: WorkerReport): void => {
@@ -81,7 +81,7 @@
     };
     const mayPlace = (job: Job): boolean => this.settling.mayPlace(job);
     this.commands = new Commands(
-      tenure,
+      term,
       cluster,
       queues,
       takeReport,
@@ -89,16 +89,16 @@
       mayPlace,
     );
     this.recorder = new Recorder(
-      tenure,
+      term,
       cluster,
       (item) => {
         this.records.learn(item);
       },
       (job) => this.rooms.every((room) => room.mayClose(job)),
     );
-    this.fleet = new Fleet(tenure, cluster, arrivals, isSettled);
-    this.rooms = c.rooms.map((room) => room(tenure, cluster));
-    this.planning = new Planning(tenure, cluster, estimates, {
+    this.fleet = new Fleet(term, cluster, arrivals, isSettled);
+    this.rooms = c.rooms.map((room) => room(term, cluster));
+    this.planning = new Planning(term, cluster, estimates, {
       hasJoined: (job) => mayPlace(job) && this.rooms.every((room) => room.hasJoined(job)),
       isSettled,
       unknownUse: (team) => this.settling.unknownUse(team),
@@ -107,7 +107,7 @@
         this.fleet.planned(unmet);
       },
     });
-    this.sweeper = new Sweeper(tenure, cluster, this.fleet, queues, takeReport, () => this.settling.awaited);
+    this.sweeper = new Sweeper(term, cluster, this.fleet, queues, takeReport, () => this.settling.awaited);
   }
 
   /** Rebuilds from the records, then runs until deposed. */
@@ -117,8 +117,8 @@
     for (const room of this.rooms) await room.restore();
     this.ready = true;
     const { jobs, machines } = this.cluster;
-    this.tenure.c.log.info({ jobs: jobs.size, machines: machines.size }, 'leader ready');
-    this.tenure.c.ready();
+    this.term.c.log.info({ jobs: jobs.size, machines: machines.size }, 'leader ready');
+    this.term.c.ready();
     this.planning.request();
     await Promise.all([
       this.records.watch(revision),
@@ -134,7 +134,7 @@
   }
 
   depose(): void {
-    this.tenure.end();
+    this.term.end();
     this.planning.request();
     this.recorder.stop();
   }
@@ -164,7 +164,7 @@
    * ago this node surely led. One that was `forwarded` may be answered by its holder for `grantMs` more.
    */
   report(r: WorkerReport, sureMs: number, forwarded: boolean): Renewal | null {
-    const { settings } = this.tenure.c;
+    const { settings } = this.term.c;
     const { recordsAgeMs } = this;
     if (recordsAgeMs > answerHorizonMs(settings)) return null;
     this.take(r, true);
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -33,7 +33,7 @@
 import type { PeerLink } from './peers.js';
 import type { Settings } from './settings.js';
 import { answerHorizonMs } from './settings.js';
-import type { RoomFactory } from './tenure.js';
+import type { RoomFactory } from './leader-term.js';
 import type { WorkerLink } from './worker-link.js';
 import type { WorkerCommand } from '@spurbridge/wire';
 
--- a/packages/controller/src/planning.ts
+++ b/packages/controller/src/planning.ts
@@ -7,7 +7,7 @@
 import type { Estimates } from './estimates.js';
 import { giveUpBeyondLimits } from './limits.js';
 import { Signal } from './signal.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 import { snapshotOf } from './view.js';
 
 const PLAN_GAP_MS = 40;
@@ -26,7 +26,7 @@
   private readonly signal = new Signal();
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly estimates: Estimates,
     private readonly parts: {
@@ -52,10 +52,10 @@
   }
 
   async run(): Promise<void> {
-    const { clock, leadership, types } = this.tenure.c;
-    while (this.tenure.active) {
+    const { clock, leadership, types } = this.term.c;
+    while (this.term.active) {
       await this.signal.wait(clock, 1000);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       const began = clock.now();
       if (leadership.holdsSurely() && types().length > 0 && this.parts.isSettled()) this.planOnce();
       // Planning gives way to reports, renewals and users: when events are dense, one plan serves many.
@@ -72,12 +72,12 @@
   }
 
   private planOnce(): void {
-    const { clock, log, configuration, planned } = this.tenure.c;
+    const { clock, log, configuration, planned } = this.term.c;
     const now = clock.now();
     // One whole version for the whole plan, whatever becomes known while it is made.
     const { version, teams: configured, objectives } = configuration();
     giveUpBeyondLimits(this.cluster, configured, now);
-    const settings = { ...this.tenure.c.settings, teams: configured, objectives };
+    const settings = { ...this.term.c.settings, teams: configured, objectives };
     const seen = snapshotOf(this.cluster, this.estimates, settings, now, this.parts.hasJoined);
     const teams = seen.teams.map((t) => {
       const unknown = this.parts.unknownUse(t.name);
--- a/packages/controller/src/progress.ts
+++ b/packages/controller/src/progress.ts
@@ -1,7 +1,7 @@
 import type { Job } from '@spurbridge/model';
 import type { JobId, JobProgress } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 const PUBLISH_MS = 1000;
 
@@ -10,7 +10,7 @@
   private readonly changed = new Set<JobId>();
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
   ) {
     cluster.on('changed', (job) => {
@@ -19,15 +19,15 @@
   }
 
   async run(): Promise<void> {
-    while (this.tenure.active) {
-      await this.tenure.c.clock.sleep(PUBLISH_MS);
+    while (this.term.active) {
+      await this.term.c.clock.sleep(PUBLISH_MS);
       const progress: JobProgress[] = [];
       for (const id of this.changed) {
         const job = this.cluster.jobs.get(id);
         if (job !== undefined && job.state === 'active') progress.push(progressOf(job));
       }
       this.changed.clear();
-      if (progress.length > 0) this.tenure.c.publish(progress);
+      if (progress.length > 0) this.term.c.publish(progress);
     }
   }
 
--- a/packages/controller/src/recorder.ts
+++ b/packages/controller/src/recorder.ts
@@ -7,7 +7,7 @@
 import { ABSENT } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import { Signal } from './signal.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 /** Finished tasks wait this long for others to share their write; intents go at once. */
 const FOLD_MS = 400;
@@ -36,7 +36,7 @@
   private backOffUntil = 0 as Ms;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     /** Takes in a job's record that was read again. */
     private readonly learn: (item: Item) => void,
@@ -59,7 +59,7 @@
 
   private dirty(job: Job, task: number, urgent: boolean): void {
     if (job.state === 'done') return;
-    const now = this.tenure.c.clock.now();
+    const now = this.term.c.clock.now();
     const chunk = job.chunkOf(task);
     const key = chunkKey(job.spec.id, chunk.index);
     const dueAt = urgent ? now : later(now, FOLD_MS);
@@ -85,23 +85,23 @@
   }
 
   async run(): Promise<void> {
-    const { clock } = this.tenure.c;
-    while (this.tenure.active) {
+    const { clock } = this.term.c;
+    while (this.term.active) {
       await this.signal.wait(clock, 100);
-      while (this.tenure.active && this.running < PARALLEL && this.launch());
+      while (this.term.active && this.running < PARALLEL && this.launch());
     }
   }
 
   /** Starts one commit; false when nothing is due. */
   private launch(): boolean {
-    const { clock, leadership } = this.tenure.c;
+    const { clock, leadership } = this.term.c;
     if (clock.now() < this.backOffUntil || !leadership.holdsSurely()) return false;
     const work = this.closeOne() ?? this.writeChunks() ?? this.clearOne();
     if (work === null) return false;
     this.running += 1;
     work
       .catch((e: unknown) => {
-        this.tenure.c.log.error({ error: String(e) }, 'recording failed');
+        this.term.c.log.error({ error: String(e) }, 'recording failed');
       })
       .finally(() => {
         this.running -= 1;
@@ -126,7 +126,7 @@
   }
 
   private async close(job: Job, key: string): Promise<void> {
-    const { store, log, wallNow, clock } = this.tenure.c;
+    const { store, log, wallNow, clock } = this.term.c;
     this.busy.add(key);
     const at = wallNow() - (clock.now() - job.submittedAt);
     const changes: Change[] = [
@@ -145,12 +145,12 @@
     if (only !== undefined && only.version !== ABSENT)
       changes.push({ delete: chunkKey(job.spec.id, only.index) });
     const outcome = await store.commit(
-      [this.tenure.c.leadership.condition(), { key, version: job.version }],
+      [this.term.c.leadership.condition(), { key, version: job.version }],
       changes,
       1,
     );
     this.busy.delete(key);
-    if (!this.tenure.active) return;
+    if (!this.term.active) return;
     if (outcome.outcome === 'committed') {
       job.version = outcome.revision as number as Version;
       job.enter('done');
@@ -163,8 +163,8 @@
   }
 
   private writeChunks(): Promise<void> | null {
-    const now = this.tenure.c.clock.now();
-    const most = this.tenure.c.settings.state.txnOps;
+    const now = this.term.c.clock.now();
+    const most = this.term.c.settings.state.txnOps;
     const batch: { key: string; entry: Entry; value: unknown; edition: number }[] = [];
     let bytes = 0;
     const due = [...this.entries].filter(([key, e]) => e.dueAt <= now && !this.busy.has(key));
@@ -194,7 +194,7 @@
     batch: readonly { key: string; entry: Entry; value: unknown; edition: number }[],
     urgent: boolean,
   ): Promise<void> {
-    const { store, leadership } = this.tenure.c;
+    const { store, leadership } = this.term.c;
     const conditions: Condition[] = [leadership.condition()];
     const changes: Change[] = [];
     const started = batch.map((b) => {
@@ -204,7 +204,7 @@
     });
     const outcome = await store.commit(conditions, changes, urgent ? 1 : 2);
     for (const b of batch) this.busy.delete(b.key);
-    if (!this.tenure.active) return;
+    if (!this.term.active) return;
     if (outcome.outcome === 'committed') {
       batch.forEach((b, i) => {
         b.entry.chunk.version = outcome.revision as number as Version;
@@ -240,13 +240,13 @@
         if (job.state === 'done' || job.placements.size === 0) this.cluster.release(job);
         continue;
       }
-      return this.clear(job, chunks.slice(0, this.tenure.c.settings.state.txnOps));
+      return this.clear(job, chunks.slice(0, this.term.c.settings.state.txnOps));
     }
     return null;
   }
 
   private async clear(job: Job, chunks: readonly Chunk[]): Promise<void> {
-    const { store, leadership } = this.tenure.c;
+    const { store, leadership } = this.term.c;
     const keys = chunks.map((c) => chunkKey(job.spec.id, c.index));
     for (const k of keys) this.busy.add(k);
     const outcome = await store.commit(
@@ -255,7 +255,7 @@
       3,
     );
     for (const k of keys) this.busy.delete(k);
-    if (!this.tenure.active) return;
+    if (!this.term.active) return;
     if (outcome.outcome === 'committed') for (const c of chunks) c.version = ABSENT;
     else await this.failed(outcome, []);
   }
@@ -265,14 +265,14 @@
     outcome: CommitOutcome,
     touched: readonly { key: string; job: Job; chunk: Chunk | null }[],
   ): Promise<void> {
-    const { store, leadership, clock } = this.tenure.c;
+    const { store, leadership, clock } = this.term.c;
     if (leadership.isLostBy(outcome)) return;
     this.backOffUntil = later(clock.now(), 120);
     if (outcome.outcome !== 'conflict') return;
     for (const t of touched) {
       if (!outcome.failed.includes(t.key)) continue;
       const found = await store.read(t.key, 1);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (found.outcome === 'found') {
         if (t.chunk === null) this.learn(found.item);
         else t.chunk.version = found.item.version;
--- a/packages/controller/src/records.ts
+++ b/packages/controller/src/records.ts
@@ -3,30 +3,30 @@
 import type { Item, Revision } from '@spurbridge/wire';
 import type { Cluster } from './cluster.js';
 import { Following } from './following.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 /** Reads the job records that any node writes: all of them after the election, then their changes. */
 export class JobRecords {
   private readonly following: Following;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     /** Told of every record that is read. */
     private readonly seen: (record: JobRecord) => void,
   ) {
-    this.following = new Following(tenure, JOB_PREFIX);
+    this.following = new Following(term, JOB_PREFIX);
   }
 
   /** How old what is known of cancellations is, in milliseconds: by the records, or by the node's copy until they are read. */
   get ageMs(): number {
-    return this.following.asOf === null ? this.tenure.c.trust.copyAgeMs : this.following.ageMs;
+    return this.following.asOf === null ? this.term.c.trust.copyAgeMs : this.following.ageMs;
   }
 
   /** The revision to watch from, or null when deposed meanwhile. */
   async load(): Promise<Revision | null> {
-    const { clock, store } = this.tenure.c;
-    while (this.tenure.active) {
+    const { clock, store } = this.term.c;
+    while (this.term.active) {
       const askedAt = clock.now();
       const jobs = await store.list(JOB_PREFIX, 0);
       const tasks = jobs.outcome === 'listed' ? await store.list(TASKS_PREFIX, 0) : jobs;
@@ -49,7 +49,7 @@
     try {
       record = decodeJob(item.value);
     } catch (e) {
-      this.tenure.c.log.error({ key: item.key, error: String(e) }, 'job record cannot be read');
+      this.term.c.log.error({ key: item.key, error: String(e) }, 'job record cannot be read');
       return null;
     }
     this.seen(record);
--- a/packages/controller/src/reports.ts
+++ b/packages/controller/src/reports.ts
@@ -7,7 +7,7 @@
 import { startName } from './commands.js';
 import type { Estimates } from './estimates.js';
 import { reachesAll } from './gangs.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 /** A job whose tasks failed on this many machines in a row is at fault itself. */
 const SUSPECT_JOB_MACHINES = 3;
@@ -20,7 +20,7 @@
 /** Takes in what workers report of themselves and their tasks. */
 export class Reports {
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly estimates: Estimates,
   ) {}
@@ -30,8 +30,8 @@
    * so long. An old one is passed over.
    */
   take(r: WorkerReport, isOwn: boolean, ageMs = 0): void {
-    const { clock, log } = this.tenure.c;
-    const isOfNow = !isOwn || r.token === this.tenure.c.leadership.token;
+    const { clock, log } = this.term.c;
+    const isOfNow = !isOwn || r.token === this.term.c.leadership.token;
     const m = this.cluster.describeMachine(r.machine, r.type, r.zone, r.spot, isOfNow);
     const now = clock.now();
     if (m.state === 'gone' || m.state === 'releasing') return;
@@ -67,7 +67,7 @@
    * for `grantMs` more without our hearing of it.
    */
   answered(r: WorkerReport, grantMs: number): void {
-    const { clock, leadership } = this.tenure.c;
+    const { clock, leadership } = this.term.c;
     const m = this.cluster.machines.get(r.machine);
     if (m === undefined) return;
     const now = clock.now();
@@ -78,13 +78,13 @@
   private onNotice(m: Machine, noticeS: number, now: Ms): void {
     m.noticeAt = now;
     m.goneBy = later(now, noticeS * 1000);
-    this.tenure.c.log.info({ machine: m.id, noticeS }, 'machine will be taken back');
+    this.term.c.log.info({ machine: m.id, noticeS }, 'machine will be taken back');
     this.cluster.drain(m, 'notice');
     for (const { job, task } of [...this.cluster.heldOn(m.id)]) {
       const graceS = job.spec.saveS + SAVE_MARGIN_S;
       if (job.spec.kind === 'service') job.askStop(task, graceS, 'drained', now);
       else if (job.spec.kind === 'gang' && job.spec.checkpointS > 0 && noticeS > graceS)
-        if (job.gang?.state !== 'running' || reachesAll(this.cluster, this.tenure.c.settings, job, now))
+        if (job.gang?.state !== 'running' || reachesAll(this.cluster, this.term.c.settings, job, now))
           this.cluster.stopGang(job, graceS, 'drained');
     }
     this.cluster.emit('due', m.id);
@@ -94,7 +94,7 @@
   private readTasks(m: Machine, r: WorkerReport, isOwn: boolean, now: Ms): void {
     // A start in a report's answer is executed or dropped before the worker's next own report is made, but not before it
     // answers a direct call, which may overtake it; and the worker has shown our token, so that no earlier leader's counts.
-    const saysAll = isOwn && r.token === this.tenure.c.leadership.token;
+    const saysAll = isOwn && r.token === this.term.c.leadership.token;
     const reported = new Map<string, TaskReport>();
     for (const t of r.tasks) reported.set(formatTaskName(t.job, t.task), t);
     for (const { job, task } of [...this.cluster.heldOn(m.id)]) {
@@ -110,7 +110,7 @@
           if (t.phase === 'running' && p.state !== 'running') {
             const type = this.cluster.type(m.type);
             m.useImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0);
-            this.tenure.c.log.debug({ task: name, machine: m.id, image: job.spec.image }, 'task runs');
+            this.term.c.log.debug({ task: name, machine: m.id, image: job.spec.image }, 'task runs');
           }
           const before = p.state;
           job.reported(task, t.phase, now);
@@ -157,7 +157,7 @@
     job.errors += 1;
     job.failedOn.add(m.id);
     m.refusedUntil = later(now, 3000);
-    this.tenure.c.log.info({ task: name, machine: m.id, errors: job.errors }, 'task failed');
+    this.term.c.log.info({ task: name, machine: m.id, errors: job.errors }, 'task failed');
     if (job.failedOn.size >= SUSPECT_JOB_MACHINES) {
       job.notBefore = later(now, Math.min(60, 2 ** Math.min(6, job.errors - 2)) * 1000);
       for (const id of job.failedOn) this.cluster.machines.get(id)?.failedJobs.delete(job.spec.id);
--- a/packages/controller/src/served.ts
+++ b/packages/controller/src/served.ts
@@ -11,7 +11,7 @@
 } from '@spurbridge/model';
 import { later } from '@spurbridge/net';
 import type { Cluster } from './cluster.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 const SAMPLE_MS = 5000;
 const SAY_MS = 60_000;
@@ -34,7 +34,7 @@
   private readonly counted = new WeakSet<Job>();
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
   ) {
     cluster.on('ended', (job) => {
@@ -72,7 +72,7 @@
     const hasBegun = isEnded || job.placements.size > 0 || job.doneCount > 0;
     const counted = {
       spec,
-      ageS: (this.tenure.c.clock.now() - submittedAt) / 1000,
+      ageS: (this.term.c.clock.now() - submittedAt) / 1000,
       startedS: this.startedS(job, hasBegun),
       isEnded,
       isCancelled: job.state === 'cancelled',
@@ -96,12 +96,12 @@
   }
 
   async run(): Promise<void> {
-    const { clock, log } = this.tenure.c;
+    const { clock, log } = this.term.c;
     this.restored();
     let sayAt = later(clock.now(), SAY_MS);
-    while (this.tenure.active) {
+    while (this.term.active) {
       await clock.sleep(SAMPLE_MS);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       this.sample();
       if (clock.now() < sayAt) continue;
       sayAt = later(clock.now(), SAY_MS);
@@ -127,7 +127,7 @@
   }
 
   private sample(): void {
-    const now = this.tenure.c.clock.now();
+    const now = this.term.c.clock.now();
     for (const c of this.classes.values()) c.largestFrom = largestFrom(c.sizes);
     for (const job of this.cluster.jobs.values()) {
       const { spec } = job;
--- a/packages/controller/src/settling.ts
+++ b/packages/controller/src/settling.ts
@@ -8,7 +8,7 @@
 import { Awaited } from './awaited.js';
 import type { Cluster } from './cluster.js';
 import { answerHorizonMs } from './settings.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 
 /**
  * `settled`: what may be on every machine is known. `asking`: records may be missing, so machines are asked first
@@ -62,15 +62,15 @@
   private beganAt = 0 as Ms;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly listedAt: () => Ms | null,
   ) {
-    const { settings, trust } = tenure.c;
+    const { settings, trust } = term.c;
     this.unheard = new Awaited(cluster);
     this.current = trust.continuous ? 'settled' : 'asking';
     const longestMs = answerHorizonMs(settings) + settings.workers.leaseS * 1000;
-    this.sureAt = later(tenure.electedAt, longestMs * (1 + DRIFT) + MARGIN_MS);
+    this.sureAt = later(term.electedAt, longestMs * (1 + DRIFT) + MARGIN_MS);
   }
 
   /** Whether tasks may be placed, and machines given back. */
@@ -111,7 +111,7 @@
   /** The only function that changes the state. */
   private enter(next: SettlingState, why: string): void {
     transitions.check(this.current, next);
-    this.tenure.c.log.info(
+    this.term.c.log.info(
       { from: this.current, to: next, why, heard: this.heard.size, unexplained: this.unexplained },
       'settling',
     );
@@ -121,9 +121,9 @@
   }
 
   async run(): Promise<void> {
-    const { clock, trust } = this.tenure.c;
+    const { clock, trust } = this.term.c;
     this.beganAt = clock.now();
-    while (this.tenure.active && this.current !== 'settled') {
+    while (this.term.active && this.current !== 'settled') {
       // A peer that never lost sight of the store says so: then the records are whole.
       if (trust.continuous && this.current === 'asking' && this.unexplained === 0)
         this.enter('settled', 'a peer knows');
@@ -141,7 +141,7 @@
     const m = this.cluster.machines.get(r.machine);
     // One that came late was passed over by those who read it before.
     if (m?.session !== r.session || m.seq !== r.seq) return;
-    const isOurs = r.token === this.tenure.c.leadership.token;
+    const isOurs = r.token === this.term.c.leadership.token;
     if (isOurs) {
       this.heard.set(r.machine, r);
       this.unheard.remove(r.machine);
@@ -158,7 +158,7 @@
   /** No sound store could lack the record of this: its job, or that this attempt was ever given. */
   private isUnexplained(t: TaskReport): boolean {
     const job = this.cluster.jobs.get(t.job);
-    if (job === undefined) return this.tenure.c.trust.phaseOf(t.job) === null;
+    if (job === undefined) return this.term.c.trust.phaseOf(t.job) === null;
     return t.task < job.spec.tasks && job.state === 'active' && t.attempt > job.chunkOf(t.task).attempts;
   }
 
@@ -177,7 +177,7 @@
     }
     if (this.strays.size > 0) return;
     this.enter('settled', 'nothing unknown runs any more');
-    this.tenure.c.trust.settled();
+    this.term.c.trust.settled();
   }
 
   /** Machines that may run what the records lack: listed as running, recorded, or met; not gone and not heard. */
@@ -189,7 +189,7 @@
   /** The machines not heard; what a list added since the last look counts at once. */
   private whatIsUnheard(): Awaited {
     const listedAt = this.listedAt();
-    const { clock } = this.tenure.c;
+    const { clock } = this.term.c;
     if (
       this.gatheredAt === null ||
       this.gatheredFrom !== listedAt ||
@@ -211,12 +211,12 @@
     // A machine that is proven gone lets jobs go on as well as one that is heard.
     if (this.current === 'listening' && unheard.count < this.before) this.cluster.emit('plan');
     this.before = unheard.count;
-    const { settings, trust } = this.tenure.c;
+    const { settings, trust } = this.term.c;
     const listedAt = this.listedAt();
     const missing = unheard.count;
     // A machine that was up shortly before may not be listed yet.
     const lagMs = settings.cloud.listLagS * 2000;
-    const isListed = listedAt !== null && listedAt > later(this.tenure.electedAt, lagMs);
+    const isListed = listedAt !== null && listedAt > later(this.term.electedAt, lagMs);
     if ((missing === 0 && isListed) || now > this.sureAt) {
       const why = missing === 0 ? 'every machine was heard' : 'every earlier lease is over';
       if (this.current === 'asking') {
@@ -260,7 +260,7 @@
         } else counts.adopted += 1;
       }
     }
-    this.tenure.c.log.info({ ...counts, ms: Math.round(now - this.tenure.electedAt) }, 'machines were asked');
+    this.term.c.log.info({ ...counts, ms: Math.round(now - this.term.electedAt) }, 'machines were asked');
   }
 
   /** Whether a task may be taken over: an earlier attempt elsewhere was proven gone before this one was given. */
--- a/packages/controller/src/sweeper.ts
+++ b/packages/controller/src/sweeper.ts
@@ -7,7 +7,7 @@
 import type { Queues } from './queues.js';
 import { SAVE_MARGIN_S } from './reports.js';
 import { longestReportMs, silentAfterMs, unheardMs } from './settings.js';
-import type { Tenure } from './tenure.js';
+import type { LeaderTerm } from './leader-term.js';
 import type { WorkerReport } from '@spurbridge/wire';
 import { Zones } from './zones.js';
 
@@ -44,7 +44,7 @@
   private readonly zones: Zones;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
     private readonly queues: Queues,
@@ -53,21 +53,19 @@
     /** Machines that decisions wait for, after a start at which nobody remembers anything. */
     private readonly awaited: () => number,
   ) {
-    const { settings, log } = tenure.c;
+    const { settings, log } = term.c;
     this.zones = new Zones(longestReportMs(settings), (fields) => {
       log.info(fields, 'zone');
     });
   }
 
   async run(): Promise<void> {
-    const { clock, leadership } = this.tenure.c;
-    while (this.tenure.active) {
+    const { clock, leadership } = this.term.c;
+    while (this.term.active) {
       await clock.sleep(SWEEP_MS);
-      if (!this.tenure.active || !leadership.holdsSurely()) continue;
+      if (!this.term.active || !leadership.holdsSurely()) continue;
       const now = clock.now();
-      this.zones.look(this.cluster.machines.values(), now, this.tenure.electedAt, (m) =>
-        this.cluster.wasUp(m),
-      );
+      this.zones.look(this.cluster.machines.values(), now, this.term.electedAt, (m) => this.cluster.wasUp(m));
       this.queues.sweepAll();
       this.endCancelled(now);
       for (const m of [...this.cluster.machines.values()]) this.sweep(m, now);
@@ -76,8 +74,8 @@
   }
 
   private sweep(m: Machine, now: Ms): void {
-    const { settings, log } = this.tenure.c;
-    const { electedAt } = this.tenure;
+    const { settings, log } = this.term.c;
+    const { electedAt } = this.term;
     if (m.state === 'gone' || m.state === 'releasing') return;
     if (this.cluster.heldCount(m.id) > 0) {
       const surelyOver = (settings.workers.leaseS * 1000 + LEASE_MARGIN_MS) * (1 + DRIFT * 2);
@@ -107,7 +105,7 @@
    * (docs/incidents/hung-past-its-lease.md). By then a machine that heard nothing, but lives, has ended its lease by itself.
    */
   private endCancelled(now: Ms): void {
-    const { settings } = this.tenure.c;
+    const { settings } = this.term.c;
     const { cancelS, leaseS } = settings.workers;
     const patienceMs = (cancelS - (cancelS - leaseS) * LAST_RESORT_SHARE) * 1000;
     for (const job of this.cluster.jobs.values()) {
@@ -123,7 +121,7 @@
 
   /** Heard all the while, never shown the task, and not renewed any more: its session ends in time (`Commands.mayStartLate`). */
   private isLeftToItsLease(m: Machine, job: Job, p: Placement, now: Ms): boolean {
-    const isHeard = m.heardAt !== null && now - m.heardAt < longestReportMs(this.tenure.c.settings) + 1000;
+    const isHeard = m.heardAt !== null && now - m.heardAt < longestReportMs(this.term.c.settings) + 1000;
     return isHeard && p.state === 'starting' && m.unanswered.has(startName(job.spec.id, p.task, p.attempt));
   }
 
@@ -147,7 +145,7 @@
       m.unansweredProbes += 1;
       return;
     }
-    const { workers, leadership, log } = this.tenure.c;
+    const { workers, leadership, log } = this.term.c;
     this.probing += 1;
     workers
       .show(m.address)
@@ -155,19 +153,19 @@
         this.probing -= 1;
       })
       .then((report) => {
-        if (!this.tenure.active) return;
+        if (!this.term.active) return;
         // With no socket left every machine seemed silent: hundreds that lived were given back.
         if (report === 'unasked') {
           m.probes = Math.max(0, m.probes - 1);
           return;
         }
-        this.tenure.reach.called(report !== null);
+        this.term.reach.called(report !== null);
         if (report === null) {
           m.unansweredProbes += 1;
           return;
         }
         leadership.observe(report.token, null);
-        if (this.tenure.active) this.onReport(report);
+        if (this.term.active) this.onReport(report);
       })
       .catch((e: unknown) => {
         log.error({ machine: m.id, error: String(e) }, 'probe failed');
@@ -178,7 +176,7 @@
   private sweepFleet(now: Ms): void {
     const silent: Machine[] = [];
     const wave = this.fleet.isComingIn(now);
-    const leaseMs = this.tenure.c.settings.workers.leaseS * 1000;
+    const leaseMs = this.term.c.settings.workers.leaseS * 1000;
     const draining: Machine[] = [];
     const unheard: Machine[] = [];
     let heard = 0;
@@ -186,7 +184,7 @@
       if (m.state === 'booting') {
         // It was up under an earlier leader: not hearing it may be this node's own fault.
         const unheardForMs = now - m.firstSeen;
-        const suspect = unheardForMs > unheardMs(this.tenure.c.settings) && (!wave || unheardForMs > leaseMs);
+        const suspect = unheardForMs > unheardMs(this.term.c.settings) && (!wave || unheardForMs > leaseMs);
         if (!this.cluster.wasUp(m)) this.sweepBooting(m, now);
         else if (!this.isExcused(m, now)) (suspect ? silent : unheard).push(m);
       } else if (m.state === 'silent') {
@@ -204,7 +202,7 @@
       this.massSince ??= now;
       // So many at once: more likely it is this node that cannot reach them. Another may lead.
       if (now - this.massSince < MASS_MS) return;
-      if (this.tenure.c.leadership.mayResign())
+      if (this.term.c.leadership.mayResign())
         return this.resign('most machines are silent: the fault may be here');
     }
     // The last few of a fleet that everything waits for are given back as soon as they leave two questions unanswered: dead
@@ -215,8 +213,8 @@
       const last = m.heardAt ?? m.firstSeen;
       const patienceMs =
         m.state === 'booting'
-          ? unheardMs(this.tenure.c.settings) + 6000
-          : silentAfterMs(this.tenure.c.settings) + SILENT_RELEASE_MS;
+          ? unheardMs(this.term.c.settings) + 6000
+          : silentAfterMs(this.term.c.settings) + SILENT_RELEASE_MS;
       if (((isLast || now - last > patienceMs) && isUnreachable(m)) || m.goneBy !== null)
         this.fleet.giveBack(m, 'silent');
     }
@@ -228,14 +226,14 @@
    * silent within a second or two only for a fault of this node's: it need not wait for each to be late.
    */
   private isDeaf(now: Ms): boolean {
-    const { settings, leadership, direct } = this.tenure.c;
+    const { settings, leadership, direct } = this.term.c;
     const { size, lastAt } = direct();
     const expectedMs = longestReportMs(settings) / Math.max(1, size);
-    const quietMs = now - Math.max(lastAt ?? now, this.tenure.electedAt);
+    const quietMs = now - Math.max(lastAt ?? now, this.term.electedAt);
     // Those that found it before it led may have gone elsewhere since.
-    const isNew = now - this.tenure.electedAt < longestReportMs(settings) + DEAF_MS;
+    const isNew = now - this.term.electedAt < longestReportMs(settings) + DEAF_MS;
     const quiet = size >= DEAF_LEAST && quietMs > Math.max(DEAF_MS, expectedMs * DEAF_REPORTS);
-    const deaf = !isNew && quiet && this.tenure.reach.isLost(DEAF_CALLS, DEAF_MS);
+    const deaf = !isNew && quiet && this.term.reach.isLost(DEAF_CALLS, DEAF_MS);
     // Twice in a row: what came while this process was held up is read between two sweeps.
     const again = deaf && this.wasDeaf;
     this.wasDeaf = deaf;
@@ -249,14 +247,14 @@
    */
   private isExcused(m: Machine, now: Ms): boolean {
     if (m.goneBy !== null || !this.zones.excuses(m, now)) return false;
-    const { settings } = this.tenure.c;
+    const { settings } = this.term.c;
     const hasNode = settings.zone === m.zone || settings.peers.some((p) => p.zone === m.zone);
     if (hasNode) return true;
     return now - (m.heardAt ?? m.firstSeen) < settings.workers.leaseS * 1000;
   }
 
   private resign(reason: string): void {
-    const { leadership, log } = this.tenure.c;
+    const { leadership, log } = this.term.c;
     leadership.resign(reason).catch((e: unknown) => {
       log.error({ error: String(e) }, 'resigning failed');
     });
--- a/packages/controller/test/limits.test.ts
+++ b/packages/controller/test/limits.test.ts
@@ -9,8 +9,8 @@
 import { Cluster } from '../src/index.js';
 import { Planning } from '../src/planning.js';
 import { Queues } from '../src/queues.js';
-import type { LeaderContext } from '../src/tenure.js';
-import { Tenure } from '../src/tenure.js';
+import type { LeaderContext } from '../src/leader-term.js';
+import { LeaderTerm } from '../src/leader-term.js';
 
 const MACHINE = 'n-000001' as MachineId;
 const SESSION = 1 as Session;
@@ -29,12 +29,12 @@
     configuration: () => configuration,
     planned: (version: ConfigurationVersion) => {
       planned.push(version);
-      tenure.end();
+      term.end();
     },
     leadership: { holdsSurely: () => true },
     types: () => TYPES,
   } as unknown as LeaderContext;
-  const tenure: Tenure = new Tenure(context);
+  const term: LeaderTerm = new LeaderTerm(context);
   const cluster = new Cluster({
     clock,
     log: silent,
@@ -53,7 +53,7 @@
     cluster.durable(job, [{ task, attempt: p.attempt }]);
     assert.equal(p.state, 'queued');
   }
-  const planning = new Planning(tenure, cluster, new Estimates(), {
+  const planning = new Planning(term, cluster, new Estimates(), {
     hasJoined: () => true,
     isSettled: () => true,
     unknownUse: () => ({ cpus: 0, gpus: 0 }),
--- a/packages/controller/test/renewals.test.ts
+++ b/packages/controller/test/renewals.test.ts
@@ -5,8 +5,8 @@
 import type { Ms } from '@spurbridge/net';
 import { jobSpec } from '@spurbridge/testkit';
 import type { JobId, Version } from '@spurbridge/wire';
-import type { LeaderContext } from '../src/tenure.js';
-import { Tenure } from '../src/tenure.js';
+import type { LeaderContext } from '../src/leader-term.js';
+import { LeaderTerm } from '../src/leader-term.js';
 import { Cluster } from '../src/index.js';
 import { JobRecords } from '../src/records.js';
 import type { Settings } from '../src/index.js';
@@ -36,7 +36,7 @@
     ageMs: () => 0,
     answeredUntil: 0 as Ms,
   });
-  return { time, cluster, records: new JobRecords(new Tenure(context), cluster, () => undefined) };
+  return { time, cluster, records: new JobRecords(new LeaderTerm(context), cluster, () => undefined) };
 }
 
 test('before its records are read a leader knows no more of cancellations than its node’s copy does', () => {
--- a/packages/controller/test/reports.test.ts
+++ b/packages/controller/test/reports.test.ts
@@ -8,8 +8,8 @@
 import { Estimates } from '../src/estimates.js';
 import { Queues } from '../src/queues.js';
 import { Reports } from '../src/reports.js';
-import type { LeaderContext } from '../src/tenure.js';
-import { Tenure } from '../src/tenure.js';
+import type { LeaderContext } from '../src/leader-term.js';
+import { LeaderTerm } from '../src/leader-term.js';
 
 const silent = { debug: () => undefined, info: () => undefined, error: () => undefined };
 const MACHINE = 'n-000001' as MachineId;
@@ -33,7 +33,7 @@
     answeredUntil: 0 as Ms,
   });
   const context = { clock, log: silent, leadership: { token: TOKEN } } as unknown as LeaderContext;
-  const reports = new Reports(new Tenure(context), cluster, new Estimates());
+  const reports = new Reports(new LeaderTerm(context), cluster, new Estimates());
   return { time, cluster, reports, queues: new Queues(cluster, clock.now) };
 }
 
--- a/packages/controller/test/served.test.ts
+++ b/packages/controller/test/served.test.ts
@@ -6,8 +6,8 @@
 import type { JobId, MachineId, Session, Version } from '@spurbridge/wire';
 import { Cluster } from '../src/index.js';
 import { Served } from '../src/served.js';
-import type { LeaderContext } from '../src/tenure.js';
-import { Tenure } from '../src/tenure.js';
+import type { LeaderContext } from '../src/leader-term.js';
+import { LeaderTerm } from '../src/leader-term.js';
 
 const silent = { debug: () => undefined, info: () => undefined, error: () => undefined };
 
@@ -19,7 +19,7 @@
       now: () => time.now as Ms,
       // One look at the sizes, and then this leader's time is over.
       sleep: () => {
-        if ((slept += 1) > 1) tenure.end();
+        if ((slept += 1) > 1) term.end();
         return Promise.resolve();
       },
     };
@@ -30,8 +30,8 @@
       ageMs: () => 0,
       answeredUntil: 0 as Ms,
     });
-    const tenure = new Tenure({ clock, log: silent } as unknown as LeaderContext);
-    const served = new Served(tenure, cluster);
+    const term = new LeaderTerm({ clock, log: silent } as unknown as LeaderContext);
+    const served = new Served(term, cluster);
     const jobs = Array.from({ length: 8 }, (_, i) => {
       const spec = jobSpec({ id: `wk-00000${i}` as JobId, tasks: 1 + i });
       return cluster.learnJob({ spec, phase: 'active', at: 0 as WallMs, chunkSize: 256 }, 3 as Version);
--- a/packages/controller/test/unanswered.test.ts
+++ b/packages/controller/test/unanswered.test.ts
@@ -18,8 +18,8 @@
 import type { Settings } from '../src/index.js';
 import { Queues } from '../src/queues.js';
 import { Reports } from '../src/reports.js';
-import type { LeaderContext } from '../src/tenure.js';
-import { Tenure } from '../src/tenure.js';
+import type { LeaderContext } from '../src/leader-term.js';
+import { LeaderTerm } from '../src/leader-term.js';
 
 const silent = { debug: () => undefined, info: () => undefined, error: () => undefined };
 const MACHINE = 'n-000001' as MachineId;
@@ -52,7 +52,7 @@
       },
     },
   } as unknown as LeaderContext;
-  const tenure = new Tenure(context);
+  const term = new LeaderTerm(context);
   const cluster = new Cluster({
     clock,
     log: silent,
@@ -60,9 +60,9 @@
     ageMs: () => 0,
     answeredUntil: 0 as Ms,
   });
-  const reports = new Reports(tenure, cluster, new Estimates());
+  const reports = new Reports(term, cluster, new Estimates());
   const commands = new Commands(
-    tenure,
+    term,
     cluster,
     new Queues(cluster, clock.now),
     () => undefined,
--- a/packages/graph-service/src/room.ts
+++ b/packages/graph-service/src/room.ts
@@ -1,4 +1,4 @@
-import type { Cluster, Room, RoomFactory, Tenure } from '@spurbridge/controller';
+import type { Cluster, Room, RoomFactory, LeaderTerm } from '@spurbridge/controller';
 import { Following, Signal } from '@spurbridge/controller';
 import { Graph } from '@spurbridge/graph';
 import type { Job, JobRecord } from '@spurbridge/model';
@@ -110,10 +110,10 @@
   private from: Revision | null = null;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
   ) {
-    this.following = new Following(tenure, GRAPH_PREFIX);
+    this.following = new Following(term, GRAPH_PREFIX);
     cluster.on('off', (job, p, done, why) => {
       this.onOff(job, p.task, done, why);
     });
@@ -152,8 +152,8 @@
   }
 
   async restore(): Promise<void> {
-    const { store, clock, log } = this.tenure.c;
-    while (this.tenure.active) {
+    const { store, clock, log } = this.term.c;
+    while (this.term.active) {
       const askedAt = clock.now();
       const open = await store.list(OPEN_PREFIX, 0);
       const jobs = open.outcome === 'listed' ? await store.list(JOB_PREFIX + cotaskPrefix(), 1) : open;
@@ -187,7 +187,7 @@
   // --- reading ---------------------------------------------------------------------------------
 
   private async load(id: GraphId): Promise<boolean> {
-    const { store } = this.tenure.c;
+    const { store } = this.term.c;
     const head = await store.read(headKey(id), 1);
     if (head.outcome === 'absent') return true;
     const batches = await store.list(batchPrefix(id), 1);
@@ -286,7 +286,7 @@
       else if (kind === 'b') this.learnBatch(id as GraphId, decodeBatch(item.value));
       else this.learnNote(id as GraphId, item);
     } catch (e) {
-      this.tenure.c.log.error({ key: item.key, error: String(e) }, 'graph record cannot be read');
+      this.term.c.log.error({ key: item.key, error: String(e) }, 'graph record cannot be read');
     }
   }
 
@@ -389,20 +389,20 @@
 
   /** One write after the other: each is conditioned on what the one before it left. */
   private async work(): Promise<void> {
-    const { clock, leadership } = this.tenure.c;
-    while (this.tenure.active) {
+    const { clock, leadership } = this.term.c;
+    while (this.term.active) {
       await this.signal.wait(clock, 1000);
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (leadership.holdsSurely()) {
         for (const o of [...this.open.values()]) {
           await this.submitReady(o);
-          if (!this.tenure.active) return;
+          if (!this.term.active) return;
           await this.writeStates(o);
-          if (!this.tenure.active) return;
+          if (!this.term.active) return;
           await this.deleteNotes(o);
-          if (!this.tenure.active) return;
+          if (!this.term.active) return;
           if (this.isOver(o)) await this.finish(o);
-          if (!this.tenure.active) return;
+          if (!this.term.active) return;
         }
         await this.tidy();
       }
@@ -447,8 +447,8 @@
   }
 
   private async writeStates(o: Open): Promise<void> {
-    const { store, leadership, settings } = this.tenure.c;
-    while (o.dirty.size > 0 && this.tenure.active) {
+    const { store, leadership, settings } = this.term.c;
+    while (o.dirty.size > 0 && this.term.active) {
       const due = this.states(o, o.dirty, settings.state.txnOps);
       if (due.length === 0) {
         o.dirty.clear();
@@ -481,7 +481,7 @@
 
   /** What notes asked for is durable: they go. Acted on again by a new leader, they do no harm. */
   private async deleteNotes(o: Open): Promise<void> {
-    const { store, leadership, settings } = this.tenure.c;
+    const { store, leadership, settings } = this.term.c;
     const due = [...o.notes].slice(0, settings.state.txnOps);
     if (due.length === 0 || o.dirty.size > 0) return;
     const outcome = await store.commit(
@@ -495,9 +495,9 @@
 
   /** Ready tasks of one shape become a cotask: job and assignment in one commit, or neither. */
   private async submitReady(o: Open): Promise<void> {
-    const { store, leadership, settings, clock, wallNow, log } = this.tenure.c;
+    const { store, leadership, settings, clock, wallNow, log } = this.term.c;
     if (o.head.phase === 'cancelled') return;
-    while (this.tenure.active) {
+    while (this.term.active) {
       const room = MOST_SUBMITTED - o.parts.size;
       const ready = o.graph.ready();
       const first = ready[0];
@@ -545,14 +545,14 @@
         [{ put: jobKey(job), value: encodeJob(record) }, ...due.map((d) => d.change)],
         1,
       );
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       const version =
         outcome.outcome === 'committed'
           ? (outcome.revision as number as Version)
           : outcome.outcome === 'unknown'
             ? await this.wasExecuted(o, job, cotask, tasks)
             : null;
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       this.unsure.delete(job);
       if (version === null) {
         o.cotasks.delete(cotask);
@@ -594,11 +594,11 @@
     cotask: string,
     tasks: readonly GraphTaskId[],
   ): Promise<Version | null> {
-    const { store, leadership, clock } = this.tenure.c;
-    while (this.tenure.active) {
+    const { store, leadership, clock } = this.term.c;
+    while (this.term.active) {
       await clock.sleep(RETRY_MS);
       const found = await store.read(jobKey(job), 1);
-      if (!this.tenure.active) return null;
+      if (!this.term.active) return null;
       if (found.outcome === 'found') return found.item.version;
       const [first] = tasks;
       if (found.outcome !== 'absent' || first === undefined) continue;
@@ -606,7 +606,7 @@
       const [fence] = this.states(o, [splitTaskId(first).batch], 1);
       if (fence === undefined) return null;
       const outcome = await store.commit([leadership.condition(), fence.condition], [fence.change], 1);
-      if (!this.tenure.active) return null;
+      if (!this.term.active) return null;
       if (outcome.outcome === 'committed') {
         this.written(o, [fence.batch], outcome.revision as number as Version);
         return null;
@@ -627,7 +627,7 @@
    * jobs that fit into it: handed over as one array a stage would have none, and in large pieces a part of it.
    */
   private widest(o: Open, shape: TaskShape): number {
-    const team = this.tenure.c.configuration().teams.find((t) => t.name === o.head.head.team);
+    const team = this.term.c.configuration().teams.find((t) => t.name === o.head.head.team);
     if (team === undefined || team.cpus <= 0 || shape.cpus <= 0) return MOST_COTASK;
     return Math.max(1, Math.min(MOST_COTASK, Math.floor(team.cpus / GUARANTEE_PARTS / shape.cpus)));
   }
@@ -660,7 +660,7 @@
 
   /** The graph is over: first its head says so, then all its other records go. */
   private async finish(o: Open): Promise<void> {
-    const { store, leadership, settings, log } = this.tenure.c;
+    const { store, leadership, settings, log } = this.term.c;
     const { head } = o.head;
     const { done, failed, cancelled } = o.graph.counts;
     const key = headKey(head.id);
@@ -694,14 +694,14 @@
         keys.slice(n, n + settings.state.txnOps).map((k) => ({ delete: k })),
         3,
       );
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       if (outcome.outcome !== 'committed') return this.failed(o, outcome);
     }
     this.open.delete(head.id);
   }
 
   private async tidy(): Promise<void> {
-    const { store, leadership, settings } = this.tenure.c;
+    const { store, leadership, settings } = this.term.c;
     const batch = [...this.litter].slice(0, settings.state.txnOps);
     if (batch.length === 0) return;
     const outcome = await store.commit(
@@ -720,12 +720,12 @@
 
   /** Refused: later. Unknown or conflicting: an earlier write may have been executed, so it is read again. */
   private async failed(o: Open, outcome: CommitOutcome): Promise<void> {
-    const { store, leadership, clock } = this.tenure.c;
+    const { store, leadership, clock } = this.term.c;
     if (leadership.isLostBy(outcome)) return;
     if (outcome.outcome === 'conflict') {
       for (const key of outcome.failed) {
         const found = await store.read(key, 1);
-        if (!this.tenure.active) return;
+        if (!this.term.active) return;
         if (found.outcome !== 'found') continue;
         if (key === headKey(o.head.head.id))
           this.learnHead(o.head.head.id, decodeHead(found.item.value), found.item.version);
@@ -757,5 +757,5 @@
 
 /** A room that runs task graphs. */
 export function graphRoom(): RoomFactory {
-  return (tenure, cluster) => new GraphRoom(tenure, cluster);
+  return (term, cluster) => new GraphRoom(term, cluster);
 }
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,5 +1,7 @@
 import { capacityCommand, scaleCommand } from '@spurbridge/scale';
 import { Command } from 'commander';
+import type { ConfigurationPart } from './configuration.js';
+import { configurationPart, measureConfiguration } from './configuration.js';
 import type { GraphsPart } from './graphs.js';
 import { graphsPart, measureGraphs } from './graphs.js';
 import type { PlansPart } from './plans.js';
@@ -33,6 +35,11 @@
     all: measurePlans,
     part: (p) => Promise.resolve(plansPart(p as PlansPart)),
   },
+  configuration: {
+    what: 'changes of configuration until they are in force, at 2,700 simulated workers',
+    all: measureConfiguration,
+    part: (p) => configurationPart(p as ConfigurationPart),
+  },
   shares: {
     what: 'workers held by every node: ends of nodes with and without shares',
     all: measureShares,
--- a/packages/recovery/src/guard.ts
+++ b/packages/recovery/src/guard.ts
@@ -29,7 +29,7 @@
 import { NO_EPOCH, isControlKey, tokenIn } from './epoch.js';
 import type { Bringing, Opened } from './gathering.js';
 import { Gathering } from './gathering.js';
-import { Hearsay } from './hearsay.js';
+import { PeerClaims } from './peer-claims.js';
 import type { Memory } from './merge.js';
 import type { SnapshotMemory, SnapshotShelf } from './shelf-memory.js';
 import { whyLater } from './shelf-memory.js';
@@ -78,7 +78,7 @@
   private lease = 0;
   private doubtedAt: Ms | null = null;
   private readonly startedAt: Ms;
-  private readonly hearsay: Hearsay;
+  private readonly claims: PeerClaims;
   private readonly gathering: Gathering;
   private snapshot: SnapshotMemory | null = null;
 
@@ -87,14 +87,14 @@
     this.soundness = new Soundness((from, to, evidence) => {
       p.log.info({ from, to, evidence, epoch: this.era, revision: this.view?.claimed ?? 0 }, 'state service');
     });
-    this.hearsay = new Hearsay(p.clock, p.machines);
+    this.claims = new PeerClaims(p.clock, p.machines);
     this.gathering = new Gathering({
       ...p,
       valueKb: p.limits.valueKb,
       brings: () => this.brings(),
-      heard: () => this.hearsay.heard(),
+      heard: () => this.claims.heard(),
       met: (number) => {
-        this.hearsay.met(number);
+        this.claims.met(number);
       },
       joins: (number) => {
         if (number === this.joined) return;
@@ -176,7 +176,7 @@
   }
 
   peerSaid(status: PeerStatus): void {
-    this.hearsay.peerSaid(status);
+    this.claims.peerSaid(status);
     const { sound } = this;
     if (sound === null) return;
     const { number, id } = sound.epoch;
@@ -195,13 +195,13 @@
 
   /** A worker reported with this token. */
   workerSaid(machine: MachineId, token: Token): void {
-    if (this.soundness.state === 'unattached' && token === 0) this.hearsay.freshWorker(machine);
+    if (this.soundness.state === 'unattached' && token === 0) this.claims.freshWorker(machine);
     this.tokenShown(token);
   }
 
   /** A worker, or a leader's record, showed this token. */
   private tokenShown(token: Token): void {
-    if (!this.hearsay.tokenShown(token)) return;
+    if (!this.claims.tokenShown(token)) return;
     // A leader of this epoch was elected at that revision: the store must have reached it.
     const { view } = this;
     if (view !== null && token > view.epoch.floor)
@@ -232,11 +232,11 @@
       view === null ? [] : [{ epoch: era, get: (k) => view.copy.get(k), keys: () => view.copy.keys() }];
     return {
       copyOf: era,
-      highest: Math.max(this.hearsay.highest, era),
+      highest: Math.max(this.claims.highest, era),
       deployment: this.deployment,
       floor: view?.epoch.floor ?? 0,
       led: this.ledToken,
-      seen: this.hearsay.token,
+      seen: this.claims.token,
       continuous: this.isContinuous,
       lease: this.lease,
       memories: this.snapshot === null ? own : [...own, this.snapshot],
@@ -284,10 +284,10 @@
     const { epoch } = found;
     await this.takeSnapshot(epoch?.deployment ?? null);
     if (epoch === null) return this.attachToNothing();
-    const { ahead } = this.hearsay.heard();
+    const { ahead } = this.claims.heard();
     if (epoch.phase !== 'open' || epoch.number < ahead)
       return this.doubt(`epoch ${epoch.number} is ${epoch.phase}, of others ${ahead}`);
-    const known = this.hearsay.revisionOf(epoch.id);
+    const known = this.claims.revisionOf(epoch.id);
     const opened = await this.gathering.load(epoch);
     if (opened === null) return;
     if (opened.latest < known) return this.doubt(`revision ${opened.latest} was read, a peer knows ${known}`);
@@ -301,17 +301,17 @@
     this.snapshot = await this.p.shelf.latest(deployment);
     if (this.snapshot === null) return;
     this.deployment = this.snapshot.deployment;
-    this.hearsay.met(this.snapshot.epoch);
+    this.claims.met(this.snapshot.epoch);
   }
 
   /** No epoch's record: a first start, or a store that was emptied. */
   private async attachToNothing(): Promise<void> {
     const now = this.p.clock.now();
-    const { peers, ahead } = this.hearsay.heard();
+    const { peers, ahead } = this.claims.heard();
     const aloneMs = peers.length >= this.p.nodes - 1 ? FIRST_MS : FIRST_ALONE_MS;
-    if (this.hearsay.token > 0 || this.snapshot !== null) this.doubt('no epoch, but a token or a snapshot');
+    if (this.claims.token > 0 || this.snapshot !== null) this.doubt('no epoch, but a token or a snapshot');
     else if (ahead > 0 || now - this.startedAt < aloneMs) await this.p.clock.sleep(50);
-    else if (!(await this.hearsay.isNewToWorkers())) await this.p.clock.sleep(ASK_MS);
+    else if (!(await this.claims.isNewToWorkers())) await this.p.clock.sleep(ASK_MS);
     else {
       const listed = await this.p.raw.list('', 0);
       if (listed.outcome !== 'listed') await this.p.clock.sleep(RETRY_MS);
@@ -340,7 +340,7 @@
     this.deployment = epoch.deployment;
     // A node that comes later knows of the epoch's opening only what its peers say.
     const begun = epoch.first && this.gathering.hasBegun(epoch);
-    this.isContinuous = this.hearsay.attests(epoch.id) || begun || (o.gathered && epoch.continuous);
+    this.isContinuous = this.claims.attests(epoch.id) || begun || (o.gathered && epoch.continuous);
     this.snapshot = null;
     this.doubtedAt = null;
     this.soundness.enter('sound', `epoch ${epoch.number} at ${revision}, ${o.pending.length} to write back`);
--- a/packages/recovery/src/hearsay.ts
+++ b/packages/recovery/src/peer-claims.ts
@@ -16,7 +16,7 @@
 }
 
 /** What peers and workers have said of the state service, without a judgement. */
-export class Hearsay {
+export class PeerClaims {
   private readonly peers = new Map<NodeId, Peer>();
   /** Workers that have never seen a token; and how many machines the cloud lists. */
   private readonly fresh = new Set<MachineId>();
--- a/packages/scale/src/capacity.ts
+++ b/packages/scale/src/capacity.ts
@@ -197,6 +197,11 @@
   return value.toFixed(digits);
 }
 
+/** A leader that began while it was measured has no figure of its own. */
+function leaderFigure(s: StepResult, value: number, digits: number): string {
+  return s.roles.leader.residentMb === 0 ? 'changed' : number(value, digits);
+}
+
 function share(value: number, limit: number | null): string {
   return limit === null ? '-' : `${Math.round((value / limit) * 100)}%`;
 }
@@ -253,9 +258,9 @@
     String(s.processes),
     `${number(s.startsPerS, 0)} of ${number(s.startsAskedPerS, 0)} (${number(s.tasksCamePerS, 0)})`,
     String(s.running),
-    number(s.roles.leader.cpu, 2),
+    leaderFigure(s, s.roles.leader.cpu, 2),
     number(s.roles.node.cpu, 2),
-    number(s.roles.leader.residentMb, 0),
+    leaderFigure(s, s.roles.leader.residentMb, 0),
     number(s.state.changesPerS, 0),
     `${number(s.urgentMs.p50, 0)}, ${number(s.urgentMs.p99, 0)}, ${number(s.urgentMs.most, 0)} (${s.urgentMs.count})`,
     `${number(s.acceptedMs.p50, 0)}, ${number(s.acceptedMs.p99, 0)}, ${number(s.acceptedMs.most, 0)}`,
@@ -318,12 +323,12 @@
           name,
           String(s.workers),
           number((c.asked / s.seconds) * 3600, 0),
-          `${c.committed} of ${c.asked + 1}`,
+          `${c.committed - c.lagged} of ${c.asked}`,
           `${number(c.inForceMs.p50, 0)}, ${number(c.inForceMs.p99, 0)}, ${number(c.inForceMs.most, 0)}`,
           `${c.conflicts}, ${c.failed}, ${c.lagged}`,
           c.allTeamsMs === null ? 'not made' : number(c.allTeamsMs, 0),
           number(s.urgentMs.p99, 0),
-          number(s.roles.leader.cpu, 2),
+          leaderFigure(s, s.roles.leader.cpu, 2),
           number(s.state.changesPerS, 0),
           String(s.elections),
           String(s.brokenRules.length),
@@ -348,6 +353,33 @@
   return table(head, rows);
 }
 
+/** Starts with the records of many ended jobs; the first row of each kept run with any. */
+function endedJobsTable(results: readonly NamedResult[]): string {
+  const rows = results.flatMap(({ name, result }) =>
+    result.steps
+      .filter((s) => (s.endedJobs ?? 0) > 0)
+      .map((s) => [
+        name,
+        String(s.endedJobs),
+        number((s.endedJobs ?? 0) / (PLAN.jobsADay / PLAN.regions), 1),
+        s.readySeconds === null || s.readySeconds === undefined ? 'never' : number(s.readySeconds, 2),
+        number(s.roles.leader.residentMb, 0),
+        number(s.roles.node.residentMb, 0),
+        number(s.urgentMs.p99, 0),
+      ]),
+  );
+  const head = [
+    'run',
+    'ended jobs',
+    'days of the plan in one region',
+    'from start of all nodes to a leader that has read, s',
+    'leader MB',
+    'other node MB',
+    'urgent p99 ms',
+  ];
+  return table(head, rows);
+}
+
 export interface NamedResult {
   readonly name: string;
   readonly result: ScaleResult;
@@ -361,9 +393,8 @@
   const plan = results.find((r) => r.name === PLAN_RUN)?.result;
   if (plan === undefined) throw new Error(`there is no kept run called ${PLAN_RUN}`);
   const regional = plan.steps.filter((s) => s.regions === 1);
-  const others = results.filter(
-    (r) => r.name !== PLAN_RUN && r.result.steps.some((s) => (s.configuration ?? null) === null),
-  );
+  const isPlain = (s: StepResult): boolean => (s.configuration ?? null) === null && (s.endedJobs ?? 0) === 0;
+  const others = results.filter((r) => r.name !== PLAN_RUN && r.result.steps.some(isPlain));
   return [
     `Run of ${plan.at.slice(0, 10)}, seed ${plan.seed}, ${plan.cores} cores, ${plan.memoryMb} MB. It ended: ${plan.stopped}.`,
     '**Slopes** (steps of one region and its parts)',
@@ -375,5 +406,7 @@
     ...others.flatMap(({ name, result }) => [`**Run \`${name}\`**`, stepTable(result.steps)]),
     '**Configuration changed while jobs run**',
     configurationTable(results),
+    '**Starts with many ended jobs**',
+    endedJobsTable(results),
   ].join('\n\n');
 }
--- a/packages/scale/src/results.ts
+++ b/packages/scale/src/results.ts
@@ -67,9 +67,9 @@
   /** Processes that ended though nobody asked them to. */
   readonly ends: readonly string[];
   /** From the start of the controllers until one leads and has read its records, in seconds; null: none did. */
-  readonly readySeconds: number | null;
+  readonly readySeconds?: number | null;
   /** Records of ended jobs that were there from the start. */
-  readonly endedJobs: number;
+  readonly endedJobs?: number;
   readonly elections: number;
   readonly brokenRules: readonly string[];
   readonly troubles: readonly TroubleResult[];
--- a/packages/scale/test/configuration.test.ts
+++ b/packages/scale/test/configuration.test.ts
@@ -9,7 +9,7 @@
 
 const TEAMS = 350;
 /** A region number of its own: its addresses are no other test's. */
-const REGION = 9;
+const REGION = 51;
 const UP_MS = 30_000;
 
 interface Ended {
--- a/packages/scale/test/smoke.test.ts
+++ b/packages/scale/test/smoke.test.ts
@@ -9,7 +9,9 @@
   'the shipped program serves twenty workers for ten seconds, and no rule breaks',
   { timeout: 120_000 },
   () => {
-    const run = spawnSync(process.execPath, [...SCALE, '--smoke'], { encoding: 'utf8' });
+    const run = spawnSync(process.execPath, [...SCALE, '--smoke', '--first-region', '50'], {
+      encoding: 'utf8',
+    });
     assert.equal(run.status, 0, run.stderr);
     const result = JSON.parse(run.stdout.trim().split('\n').at(-1) ?? '') as ScaleResult;
     const step = result.steps[0];
--- a/packages/tariff/src/keeper.ts
+++ b/packages/tariff/src/keeper.ts
@@ -1,5 +1,5 @@
 import { brotliCompressSync, brotliDecompressSync } from 'node:zlib';
-import type { Tenure } from '@spurbridge/controller';
+import type { LeaderTerm } from '@spurbridge/controller';
 import type { CommitOutcome } from '@spurbridge/store';
 import type { Change, Condition, Item, TariffDocument, Version } from '@spurbridge/wire';
 import { ABSENT, formatTariff, parseTariff, read } from '@spurbridge/wire';
@@ -29,14 +29,14 @@
   private readonly versions = new Map<string, Version>();
   private keptPeak = 0;
 
-  constructor(private readonly tenure: Tenure) {
-    this.book = new DeferralBook(tenure.c.settings.state.valueKb);
+  constructor(private readonly term: LeaderTerm) {
+    this.book = new DeferralBook(term.c.settings.state.valueKb);
   }
 
   /** Reads all of it; returns early when deposed. */
   async load(): Promise<void> {
-    const { store, clock, log } = this.tenure.c;
-    while (this.tenure.active) {
+    const { store, clock, log } = this.term.c;
+    while (this.term.active) {
       const kept = await store.list(PREFIX, 1);
       const pages = kept.outcome === 'listed' ? await store.list(DEFERRAL_PREFIX, 1) : kept;
       if (kept.outcome === 'listed' && pages.outcome === 'listed') {
@@ -61,7 +61,7 @@
     try {
       run();
     } catch (e) {
-      this.tenure.c.log.error({ key, error: String(e) }, 'tariff record cannot be read');
+      this.term.c.log.error({ key, error: String(e) }, 'tariff record cannot be read');
     }
   }
 
@@ -98,7 +98,7 @@
 
   /** Replaces the tariff, all parts at once; false where it is too large to be kept or could not be written. */
   async keepDocument(t: TariffDocument): Promise<boolean> {
-    const { settings, log } = this.tenure.c;
+    const { settings, log } = this.term.c;
     const text = brotliCompressSync(JSON.stringify(formatTariff(t))).toString('base64');
     const partBytes = settings.state.valueKb * 1024 - 64;
     const parts: string[] = [];
@@ -118,7 +118,7 @@
 
   /** Writes what was learned and has changed. */
   async keepLearned(): Promise<void> {
-    const { settings } = this.tenure.c;
+    const { settings } = this.term.c;
     const changes: Change[] = [];
     const done: RunTimes[] = [];
     for (const [name, times] of this.classes) {
@@ -138,7 +138,7 @@
   }
 
   private async write(changes: readonly Change[]): Promise<boolean> {
-    const { store, leadership } = this.tenure.c;
+    const { store, leadership } = this.term.c;
     const conditions: Condition[] = [leadership.condition()];
     for (const c of changes)
       if ('put' in c) conditions.push({ key: c.put, version: this.versions.get(c.put) ?? ABSENT });
@@ -154,7 +154,7 @@
 
   /** Writes pages that changed, as many as one commit takes; true when nothing is left to write. */
   async flush(): Promise<boolean> {
-    const { store, leadership, settings } = this.tenure.c;
+    const { store, leadership, settings } = this.term.c;
     const due: { page: Page; edition: number; change: Change }[] = [];
     let bytes = 0;
     for (const page of this.book.pages) {
@@ -180,7 +180,7 @@
       due.map((d) => d.change),
       RELEASE_URGENCY,
     );
-    if (!this.tenure.active) return false;
+    if (!this.term.active) return false;
     if (outcome.outcome === 'committed')
       for (const d of due) {
         d.page.version = 'delete' in d.change ? ABSENT : (outcome.revision as number as Version);
@@ -196,7 +196,7 @@
 
   /** A conflict: an earlier write whose answer was lost may have been executed, so versions are read again. */
   private async reread(outcome: CommitOutcome, set: (key: string, version: Version) => void): Promise<void> {
-    const { store, leadership, clock } = this.tenure.c;
+    const { store, leadership, clock } = this.term.c;
     if (leadership.isLostBy(outcome)) return;
     if (outcome.outcome === 'conflict')
       for (const key of outcome.failed) {
--- a/packages/tariff/src/room.ts
+++ b/packages/tariff/src/room.ts
@@ -1,4 +1,4 @@
-import type { Cluster, Room, RoomFactory, Tenure } from '@spurbridge/controller';
+import type { Cluster, Room, RoomFactory, LeaderTerm } from '@spurbridge/controller';
 import { Signal, silentAfterMs } from '@spurbridge/controller';
 import type { Job, Placement, WallMs } from '@spurbridge/model';
 import { fitsType } from '@spurbridge/model';
@@ -86,13 +86,13 @@
   private failed = false;
 
   constructor(
-    private readonly tenure: Tenure,
+    private readonly term: LeaderTerm,
     private readonly cluster: Cluster,
     private readonly o: TariffOptions,
   ) {
-    this.keeper = new Keeper(tenure);
+    this.keeper = new Keeper(term);
     this.outlook = new Outlook(o);
-    const { clock, log } = tenure.c;
+    const { clock, log } = term.c;
     this.feed =
       o.feed === null
         ? null
@@ -121,14 +121,14 @@
   }
 
   private wall(): WallMs {
-    return this.tenure.c.wallNow();
+    return this.term.c.wallNow();
   }
 
   // --- life ------------------------------------------------------------------------------------
 
   async restore(): Promise<void> {
     await this.keeper.load();
-    if (!this.tenure.active) return;
+    if (!this.term.active) return;
     const stated = this.o.document;
     // A feed's tariff of an earlier leader is newer than this file, unless the file says otherwise.
     if (stated !== null && stated !== this.keeper.document)
@@ -144,7 +144,7 @@
       }
     for (const d of [...this.keeper.book.all()])
       if (!this.standing.has(d.job)) this.keeper.book.remove(d.job);
-    this.restoredAt = this.tenure.c.clock.now();
+    this.restoredAt = this.term.c.clock.now();
     this.decide();
   }
 
@@ -153,7 +153,7 @@
     await Promise.all([
       this.guarded(() => this.decideLoop()),
       this.guarded(() => this.learnLoop()),
-      feed === null ? null : this.guarded(() => feed.run(() => this.tenure.active)),
+      feed === null ? null : this.guarded(() => feed.run(() => this.term.active)),
     ]);
   }
 
@@ -168,7 +168,7 @@
 
   private fail(e: unknown): void {
     this.failed = true;
-    this.tenure.c.log.error(
+    this.term.c.log.error(
       { error: e instanceof Error ? (e.stack ?? e.message) : String(e) },
       'deferring failed: this leader defers nothing any more',
     );
@@ -192,18 +192,18 @@
   private async take(t: TariffDocument): Promise<boolean> {
     const kept = await this.keeper.keepDocument(t);
     if (kept) {
-      this.tenure.c.log.info({ revision: t.revision, slots: t.slots.length }, 'tariff taken');
+      this.term.c.log.info({ revision: t.revision, slots: t.slots.length }, 'tariff taken');
       this.signal.raise();
     }
     return kept;
   }
 
   private async decideLoop(): Promise<void> {
-    const { clock, leadership } = this.tenure.c;
-    while (this.tenure.active && !this.failed) {
+    const { clock, leadership } = this.term.c;
+    while (this.term.active && !this.failed) {
       const dueMs = this.nextAt === null ? USUAL_GAP_MS : this.nextAt - this.wall();
       await this.signal.wait(clock, Math.max(LEAST_GAP_MS, Math.min(USUAL_GAP_MS, dueMs)));
-      if (!this.tenure.active) return;
+      if (!this.term.active) return;
       const began = clock.now();
       if (leadership.holdsSurely()) {
         this.decide();
@@ -215,9 +215,9 @@
 
   /** Makes decisions durable; those released join the order only then, so that no leader defers them anew. */
   private async settle(): Promise<void> {
-    for (let round = 0; round < FLUSH_ROUNDS && this.tenure.active; round += 1)
+    for (let round = 0; round < FLUSH_ROUNDS && this.term.active; round += 1)
       if (await this.keeper.flush()) break;
-    if (!this.tenure.active) return;
+    if (!this.term.active) return;
     let joined = 0;
     for (const d of [...this.keeper.book.all()]) {
       if (d.state !== 'deferred' && this.keeper.book.isDurable(d.job))
@@ -233,13 +233,13 @@
   }
 
   private async learnLoop(): Promise<void> {
-    while (this.tenure.active) {
-      await this.tenure.c.clock.sleep(LEARN_MS);
-      if (!this.tenure.active || !this.tenure.c.leadership.holdsSurely()) continue;
+    while (this.term.active) {
+      await this.term.c.clock.sleep(LEARN_MS);
+      if (!this.term.active || !this.term.c.leadership.holdsSurely()) continue;
       await this.keeper.keepLearned();
       const waiting = [...this.standing.values()].filter((s) => s === 'waiting').length;
       if (waiting > 0)
-        this.tenure.c.log.info({ waiting, next: this.nextAt, feed: this.feed?.state ?? 'none' }, 'deferred');
+        this.term.c.log.info({ waiting, next: this.nextAt, feed: this.feed?.state ?? 'none' }, 'deferred');
     }
   }
 
@@ -247,7 +247,7 @@
     if (spec.kind !== 'array' || p.runningAt === null) return;
     // One that ran already when this node took over began at a time that nobody here knows.
     if (p.placedAt <= (this.restoredAt ?? Infinity)) return;
-    this.keeper.runTimes(spec.class).learn(spec, (this.tenure.c.clock.now() - p.runningAt) / 1000);
+    this.keeper.runTimes(spec.class).learn(spec, (this.term.c.clock.now() - p.runningAt) / 1000);
   }
 
   // --- what may be deferred --------------------------------------------------------------------
@@ -261,13 +261,13 @@
   }
 
   private submitted(job: Job): WallMs {
-    return (this.wall() - (this.tenure.c.clock.now() - job.submittedAt)) as WallMs;
+    return (this.wall() - (this.term.c.clock.now() - job.submittedAt)) as WallMs;
   }
 
   /** By when the job must be complete: its deadline, or what the aims of its class say if that is sooner. */
   private finishBy(job: Job, deadlineS: number): WallMs {
     let withinS = deadlineS;
-    for (const x of this.tenure.c.configuration().objectives) {
+    for (const x of this.term.c.configuration().objectives) {
       if (x.class !== job.spec.class) continue;
       if (x.kind === 'deadline' && x.times !== null) withinS = Math.min(withinS, deadlineS * x.times);
       if (x.kind === 'finished' && x.withinS !== null) withinS = Math.min(withinS, x.withinS);
@@ -277,13 +277,13 @@
 
   private startBy(job: Job): WallMs | null {
     let withinS = Infinity;
-    for (const x of this.tenure.c.configuration().objectives)
+    for (const x of this.term.c.configuration().objectives)
       if (x.class === job.spec.class && x.kind === 'wait') withinS = Math.min(withinS, x.withinS ?? Infinity);
     return withinS === Infinity ? null : ((this.submitted(job) + withinS * 1000) as WallMs);
   }
 
   private leadS(spec: JobSpec): number {
-    const types = this.tenure.c.types().filter((t) => fitsType(spec, t));
+    const types = this.term.c.types().filter((t) => fitsType(spec, t));
     const bootS = this.cluster.frugal ? Math.max(...types.map((t) => t.bootS), 0) || ASSUMED_BOOT_S : 0;
     const rate = Math.min(...types.map((t) => t.fetchGbPerS), Infinity);
     const fetchS = rate > 0 && rate < Infinity ? spec.imageGb / rate : 0;
@@ -295,8 +295,8 @@
     const times = this.keeper.runTimes(spec.class);
     const taskS = times.atMostS(spec.estimateS, this.o.probability);
     const leadS = this.leadS(spec);
-    const cpus = spec.tasks * effectiveCpus(spec, this.tenure.c.types());
-    const lostS = taskS + leadS + silentAfterMs(this.tenure.c.settings) / 1000;
+    const cpus = spec.tasks * effectiveCpus(spec, this.term.c.types());
+    const lostS = taskS + leadS + silentAfterMs(this.term.c.settings) / 1000;
     return {
       id: spec.id,
       deferred: this.standing.get(spec.id) === 'waiting',
@@ -316,7 +316,7 @@
 
   private zones(): string[] {
     const zones = new Set<string>();
-    for (const t of this.tenure.c.types()) for (const z of t.zones) zones.add(z);
+    for (const t of this.term.c.types()) for (const z of t.zones) zones.add(z);
     for (const m of this.cluster.machines.values()) if (m.zone !== '') zones.add(m.zone);
     return [...zones].sort();
   }
@@ -327,7 +327,7 @@
     const urgent = new Map<string, number>();
     const team = new Map<string, { work: number; wanted: number }>();
     const pool = { work: 0, wanted: 0 };
-    const types = this.tenure.c.types();
+    const types = this.term.c.types();
     for (const job of this.cluster.jobs.values()) {
       if (job.state !== 'active') continue;
       const s = this.standing.get(job.spec.id);
@@ -353,7 +353,7 @@
     let cpus = 0;
     for (const m of this.cluster.machines.values())
       if (m.takesTasks) cpus += this.cluster.type(m.type)?.cpus ?? 0;
-    this.keeper.capacity.observe(this.tenure.c.clock.now(), cpus, services, urgent);
+    this.keeper.capacity.observe(this.term.c.clock.now(), cpus, services, urgent);
     return { team, pool };
   }
 
@@ -378,7 +378,7 @@
       for (const [id] of undecided) this.carryOut({ id, at: now, reason: 'no-saving', ratio: 1 }, now, 0);
       return;
     }
-    const { teams } = this.tenure.c.settings;
+    const { teams } = this.term.c.settings;
     const capacities = teams.map((t): Capacity => {
       const before = ahead.team.get(t.name);
       return {
@@ -419,7 +419,7 @@
   private carryOut(d: Decision, now: WallMs, revision: number): void {
     const { book } = this.keeper;
     const known = book.get(d.id);
-    const { log } = this.tenure.c;
+    const { log } = this.term.c;
     if (d.at <= now) {
       if (known === undefined) {
         this.standing.set(d.id, 'joined');
@@ -471,5 +471,5 @@
 
 /** A room that makes deferrable work wait for cheaper or cleaner hours. */
 export function tariffRoom(options: TariffOptions): RoomFactory {
-  return (tenure, cluster) => new TariffRoom(tenure, cluster, options);
+  return (term, cluster) => new TariffRoom(term, cluster, options);
 }
