A page of the configuration that is put back is read again

Cause (found by rereading): while a record could not be read, only a new head made a node look again; a page written back after a loss leaves the head as it was.

--- a/packages/configuration/test/live.test.ts
+++ b/packages/configuration/test/live.test.ts
@@ -97,5 +97,8 @@
   ]);
   live.seen((key) => broken.get(key));
   assert.deepEqual([live.state, live.version], ['unreadable', 7]);
+  // The page is put back, and the head is as it was.
+  live.seen((key) => recordsAt(8).get(key));
+  assert.deepEqual([live.state, live.version], ['following', 8]);
   assert.deepEqual(errors, ['configuration went back', 'configuration is gone from the state service']);
 });
