--- a/packages/configuration/src/live.ts
+++ b/packages/configuration/src/live.ts
@@ -55,9 +55,7 @@
   /** Looks at what this node knows of the state service; called whenever that may have changed. */
   seen(get: (key: string) => Item | undefined): void {
     const stamp = get(HEAD_KEY)?.version ?? null;
-    const isSettled = this.currentState === 'file' || this.currentState === 'following';
-    // A record that could not be read may be put back without the head being written again.
-    if (stamp === this.stamp && isSettled) return;
+    if (stamp === this.stamp && this.currentState !== 'mixed') return;
     try {
       const stored = readConfiguration(get);
       if (stored === null) this.vanished();
