Rereading: each region of a scale run is judged by itself

Cause (found by rereading): in the steps of two and four regions one checker judged all: a team's limit was the sum over the regions, and machines of different regions share names, so that a machine that went in one region cleared another's tasks. Stricter now: a checker a region. Besides: figures of a run with changes of configuration are read before the last changes are waited for; a run that fails lets no timer begin a controller again; the bound of processes counts the workers that are alone; what nobody read in the tally is gone; what a lowered limit gives up is counted once; the size beside the heap is called what it is, an estimate.

--- a/packages/controller/src/limits.ts
+++ b/packages/controller/src/limits.ts
@@ -13,21 +13,29 @@
   readonly placement: Placement;
 }
 
-/** What all that may be on a machine uses of a team's limit, and what of it no machine was told of yet. */
-function useOf(cluster: Cluster, team: string): { readonly use: Use; readonly unsent: Unsent[] } {
-  const use = { cpus: 0, gpus: 0 };
+/** What each team's tasks that may be on a machine use of its limit. */
+function useByTeam(cluster: Cluster): Map<string, Use> {
+  const used = new Map<string, Use>();
+  for (const { spec, placements } of cluster.jobs.values()) {
+    if (placements.size === 0) continue;
+    const use = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    used.set(spec.team, use);
+    use.cpus += spec.cpus * placements.size;
+    use.gpus += spec.gpus * placements.size;
+  }
+  return used;
+}
+
+/** The team's placements of which no machine was told yet, the latest first. */
+function unsentOf(cluster: Cluster, team: string): Unsent[] {
   const unsent: Unsent[] = [];
   for (const job of cluster.jobs.values()) {
-    if (job.spec.team !== team) continue;
-    for (const placement of job.placements.values()) {
-      use.cpus += job.spec.cpus;
-      use.gpus += job.spec.gpus;
-      // A gang starts as a whole: part of it given up would stop the rest.
-      if (job.gang === null && isUnsent(placement) && placement.stop === null)
-        unsent.push({ job, placement });
-    }
+    // A gang starts as a whole: part of it given up would stop the rest.
+    if (job.spec.team !== team || job.gang !== null) continue;
+    for (const placement of job.placements.values())
+      if (isUnsent(placement) && placement.stop === null) unsent.push({ job, placement });
   }
-  return { use, unsent };
+  return unsent.sort((a, b) => b.placement.placedAt - a.placement.placedAt);
 }
 
 function isBeyond(use: Use, team: Team): boolean {
@@ -39,20 +47,11 @@
  * latest first. What was told to start runs on.
  */
 export function giveUpBeyondLimits(cluster: Cluster, teams: readonly Team[], now: Ms): void {
-  const used = new Map<string, Use>();
-  for (const job of cluster.jobs.values()) {
-    if (job.placements.size === 0) continue;
-    const use = used.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-    used.set(job.spec.team, use);
-    use.cpus += job.spec.cpus * job.placements.size;
-    use.gpus += job.spec.gpus * job.placements.size;
-  }
+  const used = useByTeam(cluster);
   for (const team of teams) {
-    const sum = used.get(team.name);
-    if (sum === undefined || !isBeyond(sum, team)) continue;
-    const { use, unsent } = useOf(cluster, team.name);
-    unsent.sort((a, b) => b.placement.placedAt - a.placement.placedAt);
-    for (const { job, placement } of unsent) {
+    const use = used.get(team.name);
+    if (use === undefined || !isBeyond(use, team)) continue;
+    for (const { job, placement } of unsentOf(cluster, team.name)) {
       if (!isBeyond(use, team)) break;
       job.askStop(placement.task, 0, 'preempted', now);
       cluster.emit('due', placement.machine);
--- a/packages/daemon/src/heap.ts
+++ b/packages/daemon/src/heap.ts
@@ -1,6 +1,6 @@
 import { getHeapStatistics, setFlagsFromString } from 'node:v8';
 
-/** What a controller holds beside its heap: code, stacks, socket buffers; measured at 43 to 48 MB. */
+/** What a controller holds beside its heap: code, stacks, socket buffers. An estimate, on the safe side; not measured apart. */
 const BESIDE_HEAP_MB = 46;
 /** The young generation, by `--max-semi-space-size=6` of the start line: three halves. */
 const YOUNG_MB = 18;
--- a/packages/scale/src/configuration-load.ts
+++ b/packages/scale/src/configuration-load.ts
@@ -117,9 +117,14 @@
     return false;
   }
 
-  /** Ends the load, changes all teams at once, and says what came of it. */
-  async end(): Promise<ConfigurationResult> {
+  /** Asks for no further changes. */
+  stop(): void {
     clearInterval(this.timer);
+  }
+
+  /** Waits for what is under way, changes all teams at once, and says what came of it. */
+  async end(): Promise<ConfigurationResult> {
+    this.stop();
     await Promise.all(this.underWay);
     const all = Array.from({ length: this.shape.teams }, (_, n) => this.change(n * 3 + 1)).map((c, n) => ({
       ...c,
--- a/packages/scale/src/options.ts
+++ b/packages/scale/src/options.ts
@@ -1,4 +1,5 @@
 import { existsSync } from 'node:fs';
+import { LONE_WORKERS } from './region.js';
 
 /** What a scale run is asked to play; all counts are of the whole deployment. */
 export interface ScaleOptions {
@@ -59,6 +60,8 @@
 
 const MOST_PROCESSES = 200;
 const MOST_SECONDS = 3600;
+/** State service, cloud and users of a region. */
+const STAND_INS = 3;
 
 type CountField = Exclude<keyof ScaleOptions, 'steps' | 'troubles' | 'deployFile'>;
 
@@ -125,7 +128,8 @@
     mistakes.push('--running: less than --starts, tasks would run under a second');
   const deployFile = String(raw['deploy']);
   if (!existsSync(deployFile)) mistakes.push(`--deploy: there is no file '${deployFile}'`);
-  const perRegion = counts.nodes + 3 + Math.ceil(counts.zones / counts.regions);
+  const hosts = Math.ceil(counts.zones / counts.regions) + LONE_WORKERS.length;
+  const perRegion = counts.nodes + STAND_INS + hosts;
   if (perRegion * Math.max(0, ...steps.map((s) => s.regions)) > MOST_PROCESSES)
     mistakes.push(`--nodes: more than ${MOST_PROCESSES} processes in all`);
   if (mistakes.length > 0) throw new OptionsError(mistakes);
--- /dev/null
+++ b/packages/scale/src/region-judge.ts
@@ -0,0 +1,43 @@
+import type { Team } from '@spurbridge/model';
+import { RuleChecker } from '@spurbridge/testkit';
+import { RUN_SETTINGS } from './controller-settings.js';
+import type { RunEvent } from './events.js';
+import { EventOrder, judge } from './events.js';
+import type { Tally } from './tally.js';
+import type { Workload } from './workload.js';
+
+const SWEEP_MS = 500;
+
+/** Holds one region's events against the rules, in the order of their times. */
+export class RegionJudge {
+  readonly order = new EventOrder((event) => {
+    this.take(event);
+  });
+  private readonly checker: RuleChecker;
+  /** The checker's clock stands at the event that it is told of. */
+  private eventAt = 0;
+  private sweptAt = 0;
+
+  constructor(
+    teams: readonly Team[],
+    private readonly workload: Workload,
+    private readonly tally: Tally,
+  ) {
+    this.checker = new RuleChecker(() => this.eventAt, teams, RUN_SETTINGS.workers.cancel_s * 1000);
+  }
+
+  /** What was broken until now, a line each. */
+  get broken(): string[] {
+    return this.checker.broken.map((b) => `${b.rule}: ${b.what}`);
+  }
+
+  private take(event: RunEvent): void {
+    this.eventAt = event.at;
+    if (event.at - this.sweptAt > SWEEP_MS) {
+      this.checker.sweep();
+      this.sweptAt = event.at;
+    }
+    judge(this.checker, event, (id) => this.workload.find(id));
+    this.tally.take(event);
+  }
+}
--- a/packages/scale/src/step-run.ts
+++ b/packages/scale/src/step-run.ts
@@ -1,26 +1,23 @@
 import type { Team } from '@spurbridge/model';
 import { SteadyTimeline } from '@spurbridge/hollow';
-import { RuleChecker } from '@spurbridge/testkit';
 import type { JobId, JobSpec } from '@spurbridge/wire';
 import { MACHINE_CPUS } from './cloud-server.js';
 import { ConfigurationLoad } from './configuration-load.js';
-import type { ConfigurationResult } from './configuration-load.js';
 import type { RegionShape } from './controller-settings.js';
-import { RUN_SETTINGS, limitOf } from './controller-settings.js';
-import type { RunEvent } from './events.js';
-import { EventOrder, judge } from './events.js';
+import { limitOf } from './controller-settings.js';
 import type { LatencySummary, Reading } from './messages.js';
 import type { ScaleOptions, Step } from './options.js';
 import { PLAN } from './options.js';
 import type { RunProcess } from './processes.js';
 import { Processes } from './processes.js';
+import { RegionJudge } from './region-judge.js';
 import { LONE_WORKERS, Region } from './region.js';
 import type { RoleName, RoleUsage, StepResult, TroubleResult } from './results.js';
 import { Tally } from './tally.js';
 import type { Trouble } from './troubles.js';
 import { QUICKLY_S, endLeader } from './troubles.js';
 import { MachineLoad, UsageWatch, meanUsage } from './usage.js';
-import { JOBS_A_REGION } from './workload.js';
+import { JOBS_A_REGION, Workload } from './workload.js';
 
 /** Jobs at the peak, as a multiple of the day's mean: an assumption of docs/CAPACITY.md. */
 const PEAK_FACTOR = 9;
@@ -30,7 +27,6 @@
 const LEAST_WARM_S = 8;
 /** Tasks run for up to one and a half times the mean: after that as many end as start. */
 const WARM_RUNS = 1.7;
-const SWEEP_MS = 500;
 
 /** Counts and times of one measured stretch. */
 interface Stretch {
@@ -46,15 +42,10 @@
   private readonly time = new SteadyTimeline();
   private readonly processes = new Processes();
   private readonly regions: Region[] = [];
-  private readonly order = new EventOrder((event) => {
-    this.take(event);
-  });
-  private readonly checker: RuleChecker;
+  /** Each region is judged by itself: names of machines and limits of teams are its own. */
+  private readonly judges: RegionJudge[] = [];
   private readonly tally: Tally;
   private readonly ends: string[] = [];
-  /** The checker's clock stands at the event that it is told of. */
-  private eventAt = 0;
-  private sweptAt = 0;
 
   constructor(
     private readonly o: ScaleOptions,
@@ -62,7 +53,6 @@
     private readonly say: (line: string) => void,
   ) {
     this.tally = new Tally((id) => this.find(id));
-    this.checker = new RuleChecker(() => this.eventAt, this.teams(), RUN_SETTINGS.workers.cancel_s * 1000);
     for (let region = 0; region < step.regions; region += 1) this.addRegion(o.firstRegion + region);
   }
 
@@ -85,13 +75,12 @@
     return { region, zones: this.zonesOf(region), nodes, teams, workers: this.workers };
   }
 
-  /** Regions are judged together, so that names of teams are told apart by their region's jobs alone. */
   private teams(): Team[] {
     const cpusMax = limitOf(this.workers * MACHINE_CPUS);
     return Array.from({ length: this.o.teams }, (_, n) => ({
       name: `team-${n}`,
       cpus: 0,
-      cpusMax: cpusMax * this.step.regions,
+      cpusMax,
       gpus: 0,
       gpusMax: 0,
     }));
@@ -111,6 +100,8 @@
       ),
       zones: this.zonesOf(region),
     };
+    const judge = new RegionJudge(this.teams(), new Workload(workload), this.tally);
+    this.judges.push(judge);
     this.regions.push(
       new Region(
         this.shapeOf(region),
@@ -118,13 +109,13 @@
         this.processes,
         {
           batch: (source, events, until) => {
-            this.order.batch(source, events, until);
+            judge.order.batch(source, events, until);
           },
           begins: (source) => {
-            this.order.add(source, this.time.now);
+            judge.order.add(source, this.time.now);
           },
           ended: (source) => {
-            this.order.remove(source);
+            judge.order.remove(source);
           },
           unexpected: (name, code) => {
             this.ends.push(`${name} (${code ?? 'signal'})`);
@@ -144,16 +135,6 @@
     return undefined;
   }
 
-  private take(event: RunEvent): void {
-    this.eventAt = event.at;
-    if (event.at - this.sweptAt > SWEEP_MS) {
-      this.checker.sweep();
-      this.sweptAt = event.at;
-    }
-    judge(this.checker, event, (id) => this.find(id));
-    this.tally.take(event);
-  }
-
   /** Plays the step; every process is ended, whatever happens. */
   async run(troubles: readonly Trouble[]): Promise<StepResult> {
     const interrupted = (): void => {
@@ -180,14 +161,20 @@
     this.tally.reset();
     const load = this.configurationLoad();
     const ends = this.endLeaders();
-    const stretch = await this.measure(this.o.seconds);
-    clearInterval(ends);
+    let stretch: Stretch;
+    try {
+      stretch = await this.measure(this.o.seconds);
+    } finally {
+      clearInterval(ends);
+      load?.stop();
+    }
+    // Read before the last changes are waited for: what starts meanwhile is not of the measured time.
+    const result = this.result(stretch, warmS);
     const configuration = (await load?.end()) ?? null;
-    const result = this.result(stretch, warmS, configuration);
     const troubled: TroubleResult[] = [];
     for (const trouble of troubles) troubled.push(await this.trouble(trouble));
     await this.drain();
-    return { ...result, troubles: troubled, ends: this.ends, brokenRules: this.brokenRules() };
+    return { ...result, configuration, troubles: troubled, ends: this.ends, brokenRules: this.brokenRules() };
   }
 
   private configurationLoad(): ConfigurationLoad | null {
@@ -210,7 +197,7 @@
   }
 
   private brokenRules(): string[] {
-    return this.checker.broken.map((b) => `${b.rule}: ${b.what}`);
+    return this.judges.flatMap((j) => j.broken);
   }
 
   private sleep(seconds: number): Promise<void> {
@@ -228,7 +215,7 @@
       starts = this.tally.starts;
       this.say(
         `  ${what}: ${this.tally.runningNow} tasks run, ${rate.toFixed(0)} starts a second, ` +
-          `urgent p99 ${this.tally.urgent.p99} ms, ${this.checker.broken.length} rules broken`,
+          `urgent p99 ${this.tally.urgent.p99} ms, ${this.brokenRules().length} rules broken`,
       );
     }
   }
@@ -260,7 +247,7 @@
     this.say(`  trouble: ${trouble.name}`);
     const region = this.regions[0] as Region;
     const killedBefore = this.killed(await this.readAll());
-    const brokenBefore = this.checker.broken.length;
+    const brokenBefore = this.brokenRules().length;
     this.tally.reset();
     const began = performance.now();
     await trouble.play(region, (s) => this.sleep(s));
@@ -273,7 +260,7 @@
       longestPauseS: this.tally.pauseS,
       urgentMs: this.tally.urgent,
       killedByLease: this.killed(await this.readAll()) - killedBefore,
-      brokenRules: this.checker.broken.length - brokenBefore,
+      brokenRules: this.brokenRules().length - brokenBefore,
     };
   }
 
@@ -290,7 +277,7 @@
 
   // --- what came of it -----------------------------------------------------------------------------
 
-  private result(s: Stretch, warmS: number, configuration: ConfigurationResult | null): StepResult {
+  private result(s: Stretch, warmS: number): StepResult {
     const { o, step, tally } = this;
     const regions = this.regions.length;
     const counted = (of: (r: Region) => RunProcess | null, kind: string): number =>
@@ -341,7 +328,6 @@
       ),
       brokenRules: this.brokenRules(),
       troubles: [],
-      configuration,
       machineCpu: round(s.machineCpu),
       memoryMb: Math.round(running.reduce((sum, p) => sum + (s.usage(p)?.residentMb ?? 0), 0)),
     };
--- a/packages/scale/src/tally.ts
+++ b/packages/scale/src/tally.ts
@@ -13,7 +13,6 @@
   tasksCame = 0;
   jobs = 0;
   private readonly running = new Set<string>();
-  private readonly submittedAt = new Map<JobId, number>();
   private readonly waiting = new Map<string, number>();
   private waits = new DDSketch();
   private lastStartAt: number | null = null;
@@ -54,7 +53,6 @@
   private submitted(id: JobId, at: number): void {
     const spec = this.find(id);
     if (spec === undefined) return;
-    this.submittedAt.set(id, at);
     if (spec.kind !== 'service') {
       this.tasksCame += spec.tasks;
       this.jobs += 1;
