--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -6,6 +6,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { Cloud } from './cloud.mjs';
+import { Gangs } from './gangs.mjs';
 import { Store } from './store.mjs';
 import { call, sleep } from './util.mjs';
 
@@ -160,6 +161,7 @@
       nodes: [],
       jobs: this.jobs,
       doneTasks: this.doneTasks,
+      gangs: new Gangs(site),
       onEvent: (event, fields) => this.note(event, fields),
       canReach: (worker, node) => !this.workersCut.has(node),
       isClosed: () => this.isStopped,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -16,6 +16,7 @@
     this.requests = new RateLimit(limits.rps, limits.rps);
     this.writes = new RateLimit(limits.write_rps, limits.write_rps);
     this.refused = new Set(); // node indexes that get 503
+    this.held = new Set(); // node indexes whose requests are held
     this.outage = false;
     this.latencyMs = 4;
     this.onCommit = null; // called with each transaction that was carried out
@@ -117,6 +118,8 @@
     if (this.latencyMs > 0) await sleep(this.latencyMs * (0.5 + Math.random()));
     const url = new URL(request.url, 'http://store');
     const isWatch = url.pathname === '/follow';
+    // Held packets are delivered in order once the interruption ends, even if the sender gave up meanwhile.
+    while (this.held.has(node)) await sleep(20);
     if (this.isRefused(node)) {
       this.counts.refused += 1;
       return reply(response, 503, { error: 'trouble' });
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -20,6 +20,7 @@
     this.isAlive = true;
     this.isHanging = false;
     this.isSick = false;
+    this.recallAt = null; // when the cloud takes the machine back
     this.isMute = false; // opens no connection to a controller
     this.isDeaf = false; // answers and direct commands to it are lost
     this.lateCommandShare = 0;
@@ -61,6 +62,7 @@
 
   hang() {
     this.isHanging = true;
+    for (const task of this.tasks.values()) if (task.phase === 'running') this.host.gangs?.broke(task);
   }
 
   resume() {
@@ -111,7 +113,7 @@
       shift: this.shift,
       tally: this.tally,
       baton: this.baton,
-      recallS: null,
+      recallS: this.recallAt === null ? null : Math.max(0, (this.recallAt - performance.now()) / 1000),
       pieces: [...this.tasks.values()].map(({ piece, attempt, phase, cause }) => ({
         piece,
         try: attempt,
@@ -131,6 +133,7 @@
     clearTimeout(task.timer);
     if (!task.isOn) return;
     task.isOn = false;
+    this.host.gangs?.left(task, why);
     this.host.onEvent('off', { piece: task.piece, try: task.attempt, rig: this.id, job: task.job, why });
   }
 
@@ -197,6 +200,7 @@
     this.enter(task);
     if (this.host.doneTasks.has(task.piece)) return this.exit(task, 'done');
     if (this.isSick) return this.exit(task, 'error');
+    if (job.spec.shape === 'ensemble') return this.host.gangs.join(this, task, job);
     task.phase = 'running';
     this.changed();
     if (job.spec.shape !== 'daemon') task.timer = this.after(job.runS * 1000, () => this.exit(task, 'done'));
