--- a/review/3/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -5,12 +5,13 @@
 import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { Cloud } from './cloud.mjs';
 import { Gangs } from './gangs.mjs';
 import { Store } from './store.mjs';
 import { call, sleep } from './util.mjs';
 
-const ROOT = path.resolve(import.meta.dirname, '../..');
+const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
 /** The site `kalnsvilks-plans`: limits and teams as in its settings. */
 export const KALNSVILKS = {
@@ -69,12 +70,19 @@
 
 const number = (value) => (Number.isInteger(value) ? `${value}.0` : String(value));
 
+/** A free port below the range from which the system takes ports by itself, so that nothing else gets it meanwhile. */
 async function freePort() {
-  const server = net.createServer();
-  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = 11_000 + Math.floor(Math.random() * 20_000);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 /** A TCP proxy between two controllers: `open`, `hold` (nothing passes, nothing is lost), or `refuse`. */
@@ -179,7 +187,15 @@
     for (const listener of this.listeners) listener(entry);
   }
 
+  /** Ends everything and exits with 2 when the case is interrupted, or runs for longer than it may. */
+  guard() {
+    const giveUp = () => void this.stop().finally(() => process.exit(2));
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, giveUp);
+    setTimeout(giveUp, 118_500).unref();
+  }
+
   async prepare() {
+    this.guard();
     const { site, count } = this;
     this.nodes = [];
     const statePorts = await this.store.listen(count);
@@ -302,8 +318,9 @@
   }
 
   async stop() {
+    if (this.isStopped) return;
     this.isStopped = true;
-    for (const node of this.nodes) {
+    for (const node of this.nodes ?? []) {
       const child = node.process;
       if (child === null || child.exitCode !== null || child.signalCode !== null) continue;
       node.isKilled = true;
@@ -311,7 +328,7 @@
       child.kill('SIGKILL');
       await ended;
     }
-    for (const node of this.nodes) for (const { proxy } of node.proxies.values()) proxy.close();
+    for (const node of this.nodes ?? []) for (const { proxy } of node.proxies.values()) proxy.close();
     this.cloud.close();
     this.store.close();
     if (!this.keepLogs) fs.rmSync(this.dir, { recursive: true, force: true });
