--- a/review/lib/users.mjs
+++ b/review/lib/users.mjs
@@ -39,8 +39,9 @@
 
   async ask(method, path, body, timeoutMs) {
     const { label, port } = this.cluster.nodes[this.node];
+    if (body !== undefined) this.cluster.note('sent', { to: `${method} ${path}`, node: label, body });
     const answer = await call(this.agent, port, method, path, body, timeoutMs);
-    this.cluster.note('answer', { to: `${method} ${path}`, node: label, status: answer?.status ?? null, phase: answer?.body?.phase });
+    this.cluster.note('answer', { to: `${method} ${path}`, node: label, status: answer?.status ?? null, id: answer?.body?.nameId, phase: answer?.body?.phase });
     return answer;
   }
 
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -150,6 +150,7 @@
   }
 
   execute(orders) {
+    if (orders.length > 0) this.host.onEvent('orders', { rig: this.id, baton: this.baton, shift: this.shift, orders });
     for (const order of orders) {
       const key = `${order.piece} ${order.try}`;
       const task = this.tasks.get(key);
