--- a/packages/controller/src/heartbeats/command-dispatcher.ts
+++ b/packages/controller/src/heartbeats/command-dispatcher.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Machine } from '@spurbridge/model';
-import type { Heartbeat, MachineId, WorkerCommand } from '@spurbridge/wire';
+import type { DirectStarts, Machine } from '@spurbridge/model';
+import type { FencingToken, Heartbeat, MachineId, WorkerCommand } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { MachineQueues } from '../placement/machine-queues.js';
@@ -63,13 +63,14 @@
     if (this.planner.mayStartCancelledTaskLate(machine)) return null;
     const holdsLease = this.term.context.leadership.holdsValidLease();
     if (holdsLease) {
+      this.raiseTokenToForget(machine, heartbeat);
       this.queues.startFitting(machine.id);
       this.urgent.delete(machine.id);
       this.waiting.delete(machine.id);
     }
     const commands = [
       ...this.planner.commandsFor(machine, 'all'),
-      ...this.planner.cleanupCommands(machine, heartbeat),
+      ...this.planner.cleanupCommands(machine, heartbeat, this.tokenForMachine(machine)),
     ];
     return holdsLease ? commands : commands.filter((command) => this.planner.isStopOfCancelledTask(command));
   }
@@ -82,11 +83,45 @@
     return this.planner.stopsForCancelledTasks(heartbeat);
   }
 
+  /** The fencing token of the response to a heartbeat; the worker drops one that is lower than its own. */
+  tokenForResponse(heartbeat: Heartbeat): FencingToken {
+    const machine = this.cluster.machines.get(heartbeat.machine);
+    const token = machine === undefined ? 0 : this.tokenForMachine(machine);
+    return Math.max(token, this.term.context.leadership.fencingToken, heartbeat.fencingToken) as FencingToken;
+  }
+
   /** Whether tasks of cancelled jobs may be on the machine, or these commands stop such tasks. */
   hasCancelledTasks(machine: MachineId, commands: readonly WorkerCommand[]): boolean {
     return this.planner.hasCancelledTasks(machine, commands);
   }
 
+  /** The fencing token of messages to a machine. */
+  private tokenForMachine({ fencingToken, issuedToken }: Machine): FencingToken {
+    return Math.max(this.term.context.leadership.fencingToken, fencingToken, issuedToken) as FencingToken;
+  }
+
+  /**
+   * Raises the machine's token if it is to forget an attempt that was started directly. Otherwise a copy of that start,
+   * which may arrive at any time, would start the attempt again (docs/incidents/an-answered-start-came-again.md). While
+   * a direct call is in progress, the machine would reject it if the response overtook it.
+   */
+  private raiseTokenToForget(machine: Machine, heartbeat: Heartbeat): void {
+    if (machine.isSendingCommands) return;
+    if (this.planner.needsHigherToken(machine, heartbeat, this.tokenForMachine(machine)))
+      this.raiseToken(machine);
+  }
+
+  /** Gives the machine the highest token of this term that may be issued, which voids earlier direct commands. */
+  private raiseToken(machine: Machine): void {
+    const { leadership, storeIntegrity, log } = this.term.context;
+    const current = this.tokenForMachine(machine);
+    const raised = leadership.issuableToken;
+    if (raised <= current) return;
+    machine.issuedToken = raised;
+    storeIntegrity.recordIssuedToken(raised);
+    log.debug({ machine: machine.id, from: current, to: raised }, 'fencing token of a machine raised');
+  }
+
   /** Sends the machine the commands that are due there, one call at a time, unless too many calls are in progress. */
   private dispatch(id: MachineId): void {
     const machine = this.cluster.machines.get(id);
@@ -141,28 +176,37 @@
       const commands = this.planner.commandsFor(machine, 'unsent');
       if (commands.length === 0) return;
       const startKeys = startKeysOf(commands);
-      for (const key of startKeys) machine.unconfirmedStarts.add(key);
-      const result = await workerClient.sendCommands(
-        machine.address,
-        leadership.fencingToken,
-        agentEpoch,
-        commands,
-      );
+      // Each call voids the starts of earlier ones, so that the tasks that they started can be forgotten.
+      if (machine.directStarts.size > 0) this.raiseToken(machine);
+      const token = this.tokenForMachine(machine);
+      for (const key of startKeys) machine.directStarts.recordSent(key, token);
+      const result = await workerClient.sendCommands(machine.address, token, agentEpoch, commands);
       if (!this.term.isActive) return;
       const isAnswered = result.outcome === 'executed' || result.outcome === 'rejected';
       this.term.workerReachability.recordCall(isAnswered);
       if (result.outcome === 'unknown') return;
-      if (machine.agentEpoch === agentEpoch)
-        for (const key of startKeys) machine.unconfirmedStarts.delete(key);
+      if (machine.agentEpoch === agentEpoch) recordOutcome(machine.directStarts, startKeys, result.outcome);
       if (result.outcome === 'unsent') return;
-      leadership.observeToken(result.report.fencingToken, null);
+      leadership.observeToken(result.report.fencingToken);
       if (!this.term.isActive) return;
+      // The report of a machine that rejected the commands shows a newer agent epoch, or the higher token that it has
+      // received from this leader meanwhile; the next call takes it into account.
       this.receiver.receiveHeartbeat(result.report);
-      if (result.outcome === 'rejected') return;
     }
   }
 }
 
+/** Records for each start of a call whether it may arrive again. */
+function recordOutcome(
+  starts: DirectStarts,
+  keys: readonly string[],
+  outcome: 'executed' | 'rejected' | 'unsent',
+): void {
+  for (const key of keys)
+    if (outcome === 'executed') starts.recordExecuted(key);
+    else starts.discard(key);
+}
+
 function canBeCalled(machine: Machine): boolean {
   if (machine.isSendingCommands || machine.address === '' || machine.agentEpoch === null) return false;
   return machine.state === 'ready' || machine.state === 'draining';
--- a/packages/controller/src/heartbeats/command-planner.ts
+++ b/packages/controller/src/heartbeats/command-planner.ts
@@ -5,7 +5,8 @@
  */
 import type { Job, Machine, Placement } from '@spurbridge/model';
 import { addMs } from '@spurbridge/net';
-import type { Heartbeat, JobId, MachineId, TaskStatus, WorkerCommand } from '@spurbridge/wire';
+import type { FencingToken, Heartbeat, JobId, MachineId, TaskStatus, WorkerCommand } from '@spurbridge/wire';
+import { formatTaskName } from '@spurbridge/wire';
 import type { ClusterState, PlacedTask } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import { isGangStartDelayed } from '../placement/gang-scheduling.js';
@@ -54,21 +55,34 @@
 
   /**
    * Forget commands for exited tasks whose end is durable, and stop commands for tasks that no record places on the
-   * machine.
+   * machine, for a response under this token.
    */
-  cleanupCommands(machine: Machine, heartbeat: Heartbeat): WorkerCommand[] {
+  cleanupCommands(machine: Machine, heartbeat: Heartbeat, token: FencingToken): WorkerCommand[] {
     const commands: WorkerCommand[] = [];
     for (const status of heartbeat.tasks) {
       if (this.isPlacedOn(machine, status)) continue;
       const { job, task, attempt } = status;
       if (status.phase !== 'exited') {
-        if (this.policy.mayIssueCommands || this.recordedPhaseOf(job) === 'cancelled')
-          commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
-      } else if (this.mayForget(machine, status)) commands.push({ op: 'forget', job, task, attempt });
+        if (!this.policy.mayIssueCommands && this.recordedPhaseOf(job) !== 'cancelled') continue;
+        this.logUnplacedTask(machine, status);
+        commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
+      } else if (this.mayForget(status) && !mayStartAgain(machine, status, token))
+        commands.push({ op: 'forget', job, task, attempt });
     }
     return commands;
   }
 
+  /** Whether an exited task could be forgotten only in a response under a higher token than this one. */
+  needsHigherToken(machine: Machine, heartbeat: Heartbeat, token: FencingToken): boolean {
+    return heartbeat.tasks.some(
+      (status) =>
+        status.phase === 'exited' &&
+        mayStartAgain(machine, status, token) &&
+        !this.isPlacedOn(machine, status) &&
+        this.mayForget(status),
+    );
+  }
+
   /**
    * The stop commands for those tasks of a heartbeat whose jobs are cancelled. The leader's cluster state takes
    * precedence over the recorded phase.
@@ -95,7 +109,7 @@
    * machine's lease is not renewed, so that its agent epoch ends.
    */
   mayStartCancelledTaskLate(machine: Machine): boolean {
-    if (machine.unconfirmedStarts.size === 0) return false;
+    if (!machine.directStarts.hasUnanswered) return false;
     const { clock, settings } = this.term.context;
     for (const placedTask of this.cluster.tasksOn(machine.id)) {
       const { job, task } = placedTask;
@@ -138,6 +152,23 @@
     return selection === 'all' || !isUnconfirmedStart(machine, job, placement);
   }
 
+  /**
+   * A task that no record places on its machine was started by a delayed or repeated message. `heartbeatToken` is the
+   * fencing token that the machine has shown; a command that carried a lower one cannot arrive there any more.
+   */
+  private logUnplacedTask(machine: Machine, { job, task, attempt, phase }: TaskStatus): void {
+    this.term.context.log.info(
+      {
+        task: formatTaskName(job, task),
+        attempt,
+        phase,
+        machine: machine.id,
+        heartbeatToken: machine.fencingToken,
+      },
+      'stopping a task that no record places on its machine',
+    );
+  }
+
   /** Whether the records place this very attempt on the machine. */
   private isPlacedOn(machine: Machine, { job, task, attempt }: TaskStatus): boolean {
     const placement = this.cluster.jobs.get(job)?.placements.get(task);
@@ -149,10 +180,8 @@
     );
   }
 
-  private mayForget(machine: Machine, { job: id, task, attempt }: TaskStatus): boolean {
+  private mayForget({ job: id, task }: TaskStatus): boolean {
     if (!this.policy.mayIssueCommands) return false;
-    // After forgetting the attempt, the worker would execute a late start of it again, so none may be in flight.
-    if (machine.unconfirmedStarts.has(startCommandKey(id, task, attempt))) return false;
     const job = this.cluster.jobs.get(id);
     return job === undefined || task >= job.spec.tasks || job.state !== 'active' || job.isDurable(task);
   }
@@ -173,9 +202,19 @@
   return placement.agentEpoch === machine.agentEpoch ? placement : null;
 }
 
+/**
+ * Whether a copy of a direct start would start the attempt again if it were forgotten in a response under this token.
+ * The worker records the token before it executes the commands, and rejects every start with a lower one from then on.
+ */
+function mayStartAgain(machine: Machine, { job, task, attempt }: TaskStatus, token: FencingToken): boolean {
+  return machine.directStarts.mayArriveUnder(token, startCommandKey(job, task, attempt));
+}
+
 /** Whether the task was started directly, and the machine has neither confirmed the call nor reported the task. */
 function isUnconfirmedStart(machine: Machine, job: Job, { state, task, attempt }: Placement): boolean {
-  return state === 'starting' && machine.unconfirmedStarts.has(startCommandKey(job.spec.id, task, attempt));
+  return (
+    state === 'starting' && machine.directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt))
+  );
 }
 
 function attemptOf(job: Job, { task, attempt }: Placement): Pick<TaskStatus, 'job' | 'task' | 'attempt'> {
--- a/packages/controller/src/heartbeats/heartbeat-handler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-handler.ts
@@ -35,7 +35,8 @@
    */
   receive(heartbeat: Heartbeat, isRegular: boolean, ageMs = 0): void {
     const { clock, leadership } = this.term.context;
-    const hasCurrentToken = heartbeat.fencingToken === leadership.fencingToken;
+    // A token higher than all of this term has ended it.
+    const hasCurrentToken = heartbeat.fencingToken >= leadership.fencingToken;
     const machine = this.cluster.registerMachine(
       heartbeat.machine,
       heartbeat.type,
@@ -66,7 +67,7 @@
     if (machine === undefined) return;
     const now = clock.now();
     machine.latestPossibleRenewalAt =
-      heartbeat.fencingToken === leadership.fencingToken
+      heartbeat.fencingToken >= leadership.fencingToken
         ? now
         : (Math.max(machine.latestPossibleRenewalAt, now) as MonotonicMs);
     machine.leaseDelegatedUntil = Math.max(
@@ -78,11 +79,13 @@
   private updateMachine(machine: Machine, heartbeat: Heartbeat, receivedAt: MonotonicMs): void {
     const { agentEpoch } = heartbeat;
     if (machine.agentEpoch === null || agentEpoch > machine.agentEpoch) {
-      machine.unconfirmedStarts.clear();
+      machine.directStarts.clear();
       machine.agentEpoch = agentEpoch;
       this.cluster.removePlacementsOn(machine.id, 'newer session', agentEpoch);
     }
     machine.lastSequence = heartbeat.sequence;
+    if (heartbeat.fencingToken > machine.fencingToken)
+      machine.directStarts.discardBelow(heartbeat.fencingToken);
     machine.fencingToken = heartbeat.fencingToken;
     machine.address = heartbeat.address;
     machine.lastHeartbeatAt = receivedAt;
--- a/packages/controller/src/heartbeats/heartbeat-outcome.ts
+++ b/packages/controller/src/heartbeats/heartbeat-outcome.ts
@@ -28,6 +28,8 @@
 
 /** A heartbeat that the leader has accepted. */
 export interface LeaderHeartbeatAccepted extends HeartbeatAccepted {
+  /** The token of the leader's election, which the token for the worker may exceed. */
+  readonly electionToken: FencingToken;
   /** Milliseconds for which the controller that forwarded it may renew the worker's lease without the leader. */
   readonly delegatedLeaseMs: number;
 }
--- a/packages/controller/src/heartbeats/heartbeat-responder.ts
+++ b/packages/controller/src/heartbeats/heartbeat-responder.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Heartbeat, WorkerCommand } from '@spurbridge/wire';
+import type { FencingToken, Heartbeat, WorkerCommand } from '@spurbridge/wire';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { Reconciliation } from '../reconciliation/reconciliation.js';
 import { maxRenewalStalenessMs } from '../settings.js';
@@ -12,6 +12,8 @@
 
 /** The renewal of a worker's lease, as the leader grants it. */
 export interface HeartbeatRenewal {
+  /** The token of the response. */
+  readonly fencingToken: FencingToken;
   readonly commands: WorkerCommand[];
   /** Milliseconds for which the controller that forwarded the heartbeat may renew the lease without the leader. */
   readonly delegatedLeaseMs: number;
@@ -79,7 +81,7 @@
     const mayDelegate = isForwarded && this.mayDelegate(heartbeat, commands);
     const delegatedLeaseMs = mayDelegate ? Math.max(0, remainingMs) : 0;
     this.handler.recordResponse(heartbeat, delegatedLeaseMs);
-    return { commands, delegatedLeaseMs };
+    return { fencingToken: this.commands.tokenForResponse(heartbeat), commands, delegatedLeaseMs };
   }
 
   /**
--- a/packages/controller/src/heartbeats/task-status-handler.ts
+++ b/packages/controller/src/heartbeats/task-status-handler.ts
@@ -146,5 +146,5 @@
   { stopRequest, state, task, attempt }: Placement,
 ): boolean {
   if (stopRequest === null || (state !== 'starting' && state !== 'queued')) return false;
-  return !machine.unconfirmedStarts.has(startCommandKey(job.spec.id, task, attempt));
+  return !machine.directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt));
 }
--- a/packages/controller/src/jobs/record-writer.ts
+++ b/packages/controller/src/jobs/record-writer.ts
@@ -162,6 +162,7 @@
       await this.onCommitFailed(outcome, [{ key, chunk: null }]);
       return;
     }
+    leadership.recordCommit(outcome.revision);
     job.version = versionOf(outcome.revision);
     job.transitionTo('done');
     this.closingJobs.delete(job.spec.id);
@@ -208,6 +209,7 @@
     for (const { write } of batch.writes) this.busyKeys.delete(write.key);
     if (!this.term.isActive) return;
     if (outcome.outcome === 'committed') {
+      leadership.recordCommit(outcome.revision);
       batch.writes.forEach(({ write, revision }, index) => {
         write.chunk.version = versionOf(outcome.revision);
         write.chunk.durableRevision = Math.max(write.chunk.durableRevision, revision);
@@ -251,8 +253,12 @@
     const outcome = await store.commit([leadership.leadershipCompare()], mutations, DELETION_PRIORITY);
     for (const key of keys) this.busyKeys.delete(key);
     if (!this.term.isActive) return;
-    if (outcome.outcome === 'committed') for (const chunk of chunks) chunk.version = KEY_ABSENT;
-    else await this.onCommitFailed(outcome, []);
+    if (outcome.outcome !== 'committed') {
+      await this.onCommitFailed(outcome, []);
+      return;
+    }
+    leadership.recordCommit(outcome.revision);
+    for (const chunk of chunks) chunk.version = KEY_ABSENT;
   }
 
   // --- failed commits ----------------------------------------------------------------------------
--- a/packages/controller/src/leadership/controller.ts
+++ b/packages/controller/src/leadership/controller.ts
@@ -30,6 +30,7 @@
 
 /** Failures of the key-value store for a shorter time do not count as an outage. */
 const STORE_OUTAGE_AFTER_MS = 2500;
+const NO_TOKEN = 0 as FencingToken;
 
 /** A controller: serves users and workers, follows the leader, and is the leader while it holds the lease. */
 export class Controller {
@@ -218,7 +219,8 @@
     return {
       status: {
         node: this.options.settings.node,
-        fencingToken: known?.fencingToken ?? (0 as FencingToken),
+        fencingToken: known?.fencingToken ?? NO_TOKEN,
+        latestToken: known?.latestToken ?? NO_TOKEN,
         leader: known?.node ?? ('' as NodeId),
         isStoreReachable: this.isStoreServing(),
         ...this.options.store.status(),
@@ -233,7 +235,8 @@
     const { status, jobProgress } = message;
     if (status !== undefined) {
       this.options.store.receivePeerStatus(status);
-      if (status.leader !== '') this.leadership.observeToken(status.fencingToken, status.leader);
+      const { leader: node, fencingToken, latestToken } = status;
+      if (node !== '') this.leadership.observeLeader({ fencingToken, latestToken, node });
       this.shards.onPeerStatus(status);
       this.rollout.onPeerStatus(status);
     }
@@ -245,7 +248,7 @@
   private observeHeartbeat(heartbeat: Heartbeat): void {
     const { machine, fencingToken } = heartbeat;
     this.options.store.receiveWorkerToken(machine, fencingToken);
-    this.leadership.observeToken(fencingToken, null);
-    this.shards.observeFencingToken(fencingToken);
+    this.leadership.observeToken(fencingToken);
+    this.shards.observeWorkerToken(fencingToken);
   }
 }
--- a/packages/controller/src/leadership/leader-role.ts
+++ b/packages/controller/src/leadership/leader-role.ts
@@ -74,7 +74,7 @@
     const leader = new Leader(this.createContext(), this.options.leaderComponents ?? []);
     this.leader = leader;
     log.info({ token: fencingToken }, 'leading');
-    store.recordElection(fencingToken);
+    store.recordIssuedToken(fencingToken);
     store
       .writeBack(() => this.leader === leader)
       .catch((error: unknown) => {
@@ -104,7 +104,7 @@
     if (leader === null || !this.isLeading || !this.mayRenewLeases()) return HEARTBEAT_UNAVAILABLE;
     const renewal = leader.handleHeartbeat(heartbeat, leadership.msSinceLeaseConfirmed(), isForwarded);
     if (renewal === null) return HEARTBEAT_UNAVAILABLE;
-    return { outcome: 'accepted', fencingToken: leadership.fencingToken, ...renewal };
+    return { outcome: 'accepted', electionToken: leadership.fencingToken, ...renewal };
   }
 
   /** Processes a heartbeat that another controller has already responded to. */
--- a/packages/controller/src/leadership/leader-term.ts
+++ b/packages/controller/src/leadership/leader-term.ts
@@ -8,7 +8,7 @@
 import type { WallClockMs } from '@spurbridge/model';
 import type { Clock, MonotonicMs } from '@spurbridge/net';
 import type { Leadership, KeyValueStore } from '@spurbridge/store';
-import type { JobId, JobProgress, MachineType } from '@spurbridge/wire';
+import type { FencingToken, JobId, JobProgress, MachineType } from '@spurbridge/wire';
 import type { Logger } from '../logger.js';
 import { WorkerReachability } from '../heartbeats/worker-reachability.js';
 import type { Settings } from '../settings.js';
@@ -20,6 +20,8 @@
   readonly continuous: boolean;
   /** Whether the store has lost data that no replica contained. */
   readonly hasLostData: boolean;
+  /** To be called with every token that the leader gives to workers, beginning with that of its election. */
+  recordIssuedToken(token: FencingToken): void;
   /** To be called once the leader knows what runs on every machine, regardless of earlier losses of the store. */
   confirmReconciled(): void;
   /**
--- a/packages/controller/src/machines/machine-prober.ts
+++ b/packages/controller/src/machines/machine-prober.ts
@@ -63,7 +63,7 @@
       machine.probesUnanswered += 1;
       return;
     }
-    this.term.context.leadership.observeToken(result.fencingToken, null);
+    this.term.context.leadership.observeToken(result.fencingToken);
     if (this.term.isActive) this.onHeartbeat(result);
   }
 }
--- a/packages/controller/src/machines/overdue-cancellations.ts
+++ b/packages/controller/src/machines/overdue-cancellations.ts
@@ -60,13 +60,13 @@
    * its agent epoch ends in time (see `CommandDispatcher`, which sends it no response that would renew the lease).
    */
   private isLeftToLeaseExpiry(machine: Machine, job: Job, placement: Placement, now: MonotonicMs): boolean {
-    const { lastHeartbeatAt, unconfirmedStarts } = machine;
+    const { lastHeartbeatAt, directStarts } = machine;
     const { task, attempt, state } = placement;
     return (
       lastHeartbeatAt !== null &&
       now - lastHeartbeatAt < lateHeartbeatMs(this.settings) &&
       state === 'starting' &&
-      unconfirmedStarts.has(startCommandKey(job.spec.id, task, attempt))
+      directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt))
     );
   }
 }
--- a/packages/controller/src/reconciliation/reconciliation.ts
+++ b/packages/controller/src/reconciliation/reconciliation.ts
@@ -130,7 +130,7 @@
     const machine = this.cluster.machines.get(id);
     // The cluster state has ignored this heartbeat, because it arrived out of order.
     if (machine?.agentEpoch !== agentEpoch || machine.lastSequence !== sequence) return;
-    const isConfirmation = heartbeat.fencingToken === this.term.context.leadership.fencingToken;
+    const isConfirmation = heartbeat.fencingToken >= this.term.context.leadership.fencingToken;
     if (isConfirmation) {
       this.confirmed.set(id, heartbeat);
       this.unconfirmed.remove(id);
--- a/packages/controller/src/shards/forwarded-heartbeat-handler.ts
+++ b/packages/controller/src/shards/forwarded-heartbeat-handler.ts
@@ -10,6 +10,14 @@
 /** The identifier of a forwarded heartbeat that was already responded to and needs no response. */
 export const NO_RESPONSE_ID = 0;
 
+const NO_RENEWAL = {
+  code: 503,
+  fencingToken: 0 as FencingToken,
+  electionToken: 0 as FencingToken,
+  delegatedLeaseMs: 0,
+  commands: [],
+} as const;
+
 /** The leader's side of forwarding. */
 export class ForwardedHeartbeatHandler {
   constructor(
@@ -33,9 +41,8 @@
     const outcome = this.localLeader.handleHeartbeat(forward.heartbeat, true);
     const { machine, agentEpoch, sequence } = forward.heartbeat;
     const header = { id: forward.id, machine, agentEpoch, sequence };
-    if (outcome.outcome === 'unavailable')
-      return { ...header, code: 503, fencingToken: 0 as FencingToken, delegatedLeaseMs: 0, commands: [] };
-    const { fencingToken, delegatedLeaseMs, commands } = outcome;
-    return { ...header, code: 200, fencingToken, delegatedLeaseMs, commands };
+    if (outcome.outcome === 'unavailable') return { ...header, ...NO_RENEWAL };
+    const { fencingToken, electionToken, delegatedLeaseMs, commands } = outcome;
+    return { ...header, code: 200, fencingToken, electionToken, delegatedLeaseMs, commands };
   }
 }
--- a/packages/controller/src/shards/shard-controller.ts
+++ b/packages/controller/src/shards/shard-controller.ts
@@ -14,7 +14,7 @@
   PeerStatus,
   WorkerCommand,
 } from '@spurbridge/wire';
-import { ShardBalancer, WorkerShard } from '@spurbridge/worker-shards';
+import { KnownTokens, ShardBalancer, WorkerShard } from '@spurbridge/worker-shards';
 import type {
   HeartbeatAccepted,
   HeartbeatOutcome,
@@ -80,7 +80,7 @@
   private disconnectedSince: MonotonicMs | null = null;
   /** Since when this controller has been able to serve workers without interruption. */
   private servingSince: MonotonicMs | null = null;
-  private highestKnownToken = 0 as FencingToken;
+  private readonly knownTokens = new KnownTokens();
 
   constructor(private readonly options: ShardControllerOptions) {
     const { settings, clock, peers, localLeader } = options;
@@ -124,9 +124,9 @@
     }
   }
 
-  /** Observes a fencing token, which invalidates leases that were delegated under a lower one. */
-  observeFencingToken(fencingToken: FencingToken): void {
-    if (fencingToken > this.highestKnownToken) this.highestKnownToken = fencingToken;
+  /** Observes a worker's fencing token; that of a newer leader invalidates leases that were delegated before. */
+  observeWorkerToken(fencingToken: FencingToken): void {
+    this.knownTokens.observeWorker(fencingToken);
   }
 
   /** Handles the heartbeat of a worker while this controller does not lead. */
@@ -156,7 +156,7 @@
   /** Processes another controller's status, and announces this shard to a new leader that is ready. */
   onPeerStatus(status: PeerStatus): void {
     this.directory.record(status);
-    this.observeFencingToken(status.fencingToken);
+    this.knownTokens.observeTerm(status.fencingToken, status.latestToken);
     if (!status.isLeaderReady || !this.announcer.isNewLeader(status.fencingToken)) return;
     if (this.options.localLeader.isLeading || !this.options.peers.isConnected(status.node)) return;
     void this.announcer.announceTo(status.node, status.fencingToken);
@@ -214,8 +214,9 @@
   }
 
   private acceptByDelegation(heartbeat: Heartbeat): HeartbeatAccepted | null {
-    const fencingToken = this.shard.delegatedToken(heartbeat.machine, this.highestKnownToken);
-    if (fencingToken === null) return null;
+    const fencingToken = this.shard.delegatedToken(heartbeat.machine, this.knownTokens.lowestValid);
+    // A worker drops a response with a lower token than it has seen.
+    if (fencingToken === null || fencingToken < heartbeat.fencingToken) return null;
     // A durable cancellation is final regardless of the leader, so a stop only requires a token that the worker
     // accepts.
     const commands = this.options.cancelledTasks.stopsFor(heartbeat);
@@ -227,9 +228,14 @@
     const request = this.forwarder.forward(leader, heartbeat);
     const response = await request.response;
     if (response === null) return null;
-    const { fencingToken, commands } = response;
-    this.observeFencingToken(fencingToken);
+    const { fencingToken, electionToken, commands } = response;
     if (response.code !== 200) return HEARTBEAT_UNAVAILABLE;
+    this.knownTokens.observeTerm(electionToken, fencingToken);
+    this.options.leadership.observeLeader({
+      fencingToken: electionToken,
+      latestToken: fencingToken,
+      node: leader,
+    });
     this.shard.recordHeartbeat(heartbeat);
     this.shard.extendDelegation(
       heartbeat.machine,
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -6,6 +6,7 @@
  */
 
 export * from './admission.js';
+export * from './direct-starts.js';
 export * from './errors.js';
 export * from './gang.js';
 export * from './job.js';
--- a/packages/model/src/machine.ts
+++ b/packages/model/src/machine.ts
@@ -6,6 +6,7 @@
 
 import type { MonotonicMs } from '@spurbridge/net';
 import type { AgentEpoch, FencingToken, MachineId } from '@spurbridge/wire';
+import { DirectStarts } from './direct-starts.js';
 import { TransitionTable } from './transition-table.js';
 
 /**
@@ -65,8 +66,13 @@
   preemptionDeadline: MonotonicMs | null = null;
   /** The images in its cache with their sizes in GB, least recently used first. */
   readonly images = new Map<string, number>();
-  /** Starts sent directly in this agent epoch that are not confirmed; each may still arrive at any time. */
-  readonly unconfirmedStarts = new Set<string>();
+  /**
+   * The highest fencing token that this leader has given the machine beyond that of its election; 0 for none. Every
+   * later message to the machine carries at least this token.
+   */
+  issuedToken = 0 as FencingToken;
+  /** Starts sent directly in this agent epoch that may still arrive. */
+  readonly directStarts = new DirectStarts();
   /** Jobs whose tasks failed here consecutively, without a success in between. */
   readonly failedJobs = new Set<string>();
   /** The number of probes sent since the last heartbeat, and how many of them got no response. */
--- a/packages/recovery/src/recoverable-store.ts
+++ b/packages/recovery/src/recoverable-store.ts
@@ -150,9 +150,9 @@
     this.lifecycle.receiveToken(token);
   }
 
-  /** Records that this process was elected leader under a token. */
-  recordElection(token: FencingToken): void {
-    this.lifecycle.recordElection(token);
+  /** Records a token that this process gives to workers as the leader, beginning with that of its election. */
+  recordIssuedToken(token: FencingToken): void {
+    this.lifecycle.recordIssuedToken(token);
   }
 
   /** Records that the leader knows the state of every machine, so that no earlier write can still be missing. */
--- a/packages/recovery/src/store-lifecycle.ts
+++ b/packages/recovery/src/store-lifecycle.ts
@@ -89,9 +89,9 @@
     if (this.integrity.isTrusted) this.wasFollowedWithoutGap = true;
   }
 
-  /** Records that this process was elected leader under a token. */
-  recordElection(token: FencingToken): void {
-    this.lastLedToken = token;
+  /** Records a token that this process gives to workers as the leader, beginning with that of its election. */
+  recordIssuedToken(token: FencingToken): void {
+    this.lastLedToken = Math.max(this.lastLedToken, token) as FencingToken;
     this.receiveToken(token);
   }
 
--- a/packages/simulated-worker/src/heartbeat-loop.ts
+++ b/packages/simulated-worker/src/heartbeat-loop.ts
@@ -17,6 +17,8 @@
 /** A response that arrives later than this after its request is ignored. */
 const RESPONSE_VALID_MS = 4000;
 const NEXT_NODE_DELAY_MS = 1000;
+/** Minimum time between two heartbeats that are sent early because of a higher fencing token, in leases. */
+const TOKEN_REPORT_LEASE_SHARE = 0.5;
 /** Upper bound of the random delay after a redirect, which spreads the requests of workers redirected together. */
 const REDIRECT_SPREAD_MS = 500;
 
@@ -35,6 +37,7 @@
   private node = 0;
   private isWaiting = false;
   private lastSentMs = -Infinity;
+  private lastTokenReportMs = -Infinity;
 
   constructor(private readonly options: HeartbeatLoopOptions) {}
 
@@ -64,9 +67,13 @@
     });
   }
 
-  /** Records a fencing token; a new one is reported to the controllers soon. */
+  /** Records a fencing token; a higher one is reported soon, at most once in half of a lease. */
   observeToken(token: number): void {
-    if (this.options.agent.observeToken(token)) this.sendSoon();
+    const { agent, host } = this.options;
+    if (!agent.observeToken(token)) return;
+    if (host.time.now - this.lastTokenReportMs < host.leaseMs * TOKEN_REPORT_LEASE_SHARE) return;
+    this.lastTokenReportMs = host.time.now;
+    this.sendSoon();
   }
 
   private sendNow(): void {
--- a/packages/simulated-worker/src/task-runner.ts
+++ b/packages/simulated-worker/src/task-runner.ts
@@ -5,11 +5,12 @@
  */
 import { EPSILON } from '@spurbridge/model';
 import type { Attempt, ExitCause, JobId, JobSpec, MachineType, WorkerCommand } from '@spurbridge/wire';
+import { formatTaskName } from '@spurbridge/wire';
 import type { AgentState } from './agent-state.js';
 import { GangTaskRunner } from './gang-task-runner.js';
 import type { TaskPlacement, WorkerHost } from './worker-host.js';
 import type { WorkerTask } from './worker-task.js';
-import { taskKey } from './worker-task.js';
+import { attemptKey } from './worker-task.js';
 
 /** Time to start a task whose image is in the machine's cache. */
 const CACHED_IMAGE_MS = 5;
@@ -24,11 +25,16 @@
   readonly onChange: () => void;
 }
 
-/** Starts, runs and stops tasks, at most one attempt of each. */
+/**
+ * Starts, runs and stops tasks. At most one attempt at each task has not exited. Every attempt is known until it is
+ * forgotten; a start of a known attempt has no effect.
+ */
 export class TaskRunner {
   /** While true, every task that starts here fails. */
   failsAllTasks = false;
-  private readonly tasks = new Map<string, WorkerTask>();
+  private readonly attempts = new Map<string, WorkerTask>();
+  /** The latest started attempt at each task. */
+  private readonly latest = new Map<string, WorkerTask>();
   private readonly images = new Set<string>();
   private readonly gangTasks: GangTaskRunner;
 
@@ -43,9 +49,9 @@
     });
   }
 
-  /** All tasks, including exited ones that were not discarded yet. */
+  /** All attempts, including exited ones that were not forgotten yet. */
   get all(): readonly WorkerTask[] {
-    return [...this.tasks.values()];
+    return [...this.attempts.values()];
   }
 
   /** The tasks that use resources, including those that fetch their image. */
@@ -53,9 +59,9 @@
     return this.all.filter((task) => task.phase !== 'exited');
   }
 
-  /** The attempt at a task on this worker. */
+  /** The latest attempt at a task on this worker. */
   find(job: JobId, task: number): WorkerTask | undefined {
-    return this.tasks.get(taskKey(job, task));
+    return this.latest.get(formatTaskName(job, task));
   }
 
   /** Kills and discards all tasks; returns how many had not exited. */
@@ -64,7 +70,8 @@
     const killed = this.occupying;
     for (const { job, task } of killed)
       host.observer.taskStopped(job.id, task, placement.machine, false, atMs);
-    this.tasks.clear();
+    this.attempts.clear();
+    this.latest.clear();
     return killed.length;
   }
 
@@ -72,11 +79,11 @@
   execute(commands: readonly WorkerCommand[]): void {
     for (const command of commands) {
       const { job, task: index, attempt } = command;
-      const task = this.find(job, index);
+      const task = this.attempts.get(attemptKey(job, index, attempt));
       if (command.op === 'start') this.start(job, index, attempt);
-      else if (task === undefined || task.attempt !== attempt) continue;
+      else if (task === undefined) continue;
       else if (command.op === 'stop') this.stop(task, command.graceS);
-      else if (task.phase === 'exited') this.tasks.delete(taskKey(job, index));
+      else if (task.phase === 'exited') this.forget(task);
     }
   }
 
@@ -106,25 +113,37 @@
   private start(id: JobId, index: number, attempt: Attempt): void {
     const { host, agent, type, onChange } = this.options;
     const job = host.findJob(id);
-    const old = this.find(id, index);
-    if (old?.attempt === attempt || job === undefined) return;
-    if (old !== undefined && old.phase !== 'exited') return;
+    if (this.attempts.has(attemptKey(id, index, attempt)) || job === undefined) return;
     const task: WorkerTask = { job, task: index, attempt, phase: 'fetching', cause: null, saved: false };
-    const hasRoom = this.hasRoomFor(job);
-    this.tasks.set(taskKey(id, index), task);
+    const refusal = this.refusalOf(job, index);
+    this.attempts.set(attemptKey(id, index, attempt), task);
     if (job.kind === 'gang') host.gangs.attempt(job, attempt);
     onChange();
-    if (!hasRoom) {
+    if (refusal !== null) {
       task.phase = 'exited';
-      task.cause = 'no_room';
+      task.cause = refusal;
       return;
     }
+    this.latest.set(formatTaskName(id, index), task);
     const fetchMs = this.images.has(job.image) ? CACHED_IMAGE_MS : (job.imageGb / type.fetchGbPerS) * 1000;
     agent.actAfter(fetchMs, () => {
       if (this.find(id, index) === task && task.phase === 'fetching') this.begin(task);
     });
   }
 
+  private forget(task: WorkerTask): void {
+    const { job, task: index, attempt } = task;
+    this.attempts.delete(attemptKey(job.id, index, attempt));
+    if (this.find(job.id, index) === task) this.latest.delete(formatTaskName(job.id, index));
+  }
+
+  /** Why this worker refuses to start the task; null if it does not. */
+  private refusalOf(job: JobSpec, index: number): ExitCause | null {
+    const latest = this.find(job.id, index);
+    if (latest !== undefined && latest.phase !== 'exited') return 'busy';
+    return this.hasRoomFor(job) ? null : 'no_room';
+  }
+
   private hasRoomFor(job: JobSpec): boolean {
     const { type } = this.options;
     let { cpus, gpus, memoryGb } = job;
--- a/packages/simulated-worker/src/worker-task.ts
+++ b/packages/simulated-worker/src/worker-task.ts
@@ -17,7 +17,7 @@
   saved: boolean;
 }
 
-/** The key of a task on a worker, of which there is at most one attempt. */
-export function taskKey(job: JobId, task: number): string {
-  return `${job}/${task}`;
+/** The key of an attempt at a task on a worker. */
+export function attemptKey(job: JobId, task: number, attempt: Attempt): string {
+  return `${job}/${task}#${attempt}`;
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -11,3 +11,4 @@
 export * from './leadership/leadership-listener.js';
 export * from './leadership/leadership-state.js';
 export * from './leadership/leader-lease.js';
+export * from './leadership/term-tokens.js';
--- a/packages/store/src/leadership/leadership-listener.ts
+++ b/packages/store/src/leadership/leadership-listener.ts
@@ -22,6 +22,9 @@
 
 /** The leader with the highest fencing token that this node knows. */
 export interface KnownLeader {
+  /** The token of its election. */
   readonly fencingToken: FencingToken;
+  /** The highest known token of its term (`TermTokens`). */
+  readonly latestToken: FencingToken;
   readonly node: NodeId;
 }
--- a/packages/store/src/leadership/leadership.ts
+++ b/packages/store/src/leadership/leadership.ts
@@ -13,6 +13,7 @@
 import { LEADER_KEY, formatLeaderRecord, parseLeaderRecord } from './leader-record.js';
 import type { LeadershipState } from './leadership-state.js';
 import { checkTransition, isLeaderState } from './leadership-state.js';
+import { TermTokens } from './term-tokens.js';
 
 /** Interval between renewals of the lease, in milliseconds. */
 const RENEWAL_INTERVAL_MS = 800;
@@ -46,8 +47,8 @@
   private current: LeadershipState = 'following';
   /** Null unless leading. */
   private lease: LeaderLease | null = null;
-  /** Fencing token of this node's last election, and the version of the record that it wrote then. */
-  private ownToken = 0 as FencingToken;
+  /** Fencing tokens of this node's last term, and the version of the record that it wrote at its election. */
+  private tokens: TermTokens;
   private ownVersion = KEY_ABSENT;
   private highestKnown: KnownLeader | null = null;
   /** When this node first found no leader's record; reset to null when it finds one. */
@@ -67,6 +68,7 @@
     private readonly listener: LeadershipListener,
   ) {
     this.peerDiscoveryEndsAt = addMs(clock.now(), PEER_DISCOVERY_MS);
+    this.tokens = new TermTokens(clock, 0 as FencingToken);
   }
 
   // --- state ---------------------------------------------------------------------------------------
@@ -78,7 +80,15 @@
 
   /** The fencing token of this node's last election; 0 if it was never elected. */
   get fencingToken(): FencingToken {
-    return this.ownToken;
+    return this.tokens.election;
+  }
+
+  /**
+   * The highest token that this leader may give a machine now, in order to invalidate the commands that were sent there
+   * under lower ones.
+   */
+  get issuableToken(): FencingToken {
+    return this.tokens.issuable;
   }
 
   /** The leader with the highest known token; null if only its token is known, or nothing. */
@@ -105,6 +115,18 @@
     return this.lease?.msSinceConfirmed(this.clock.now()) ?? Infinity;
   }
 
+  /**
+   * Records the revision of a confirmed commit that contained `leadershipCompare`, which is a later token of this term.
+   * A commit from before a loss of data proves nothing, because revisions may repeat.
+   */
+  recordCommit(revision: Revision): void {
+    if (!this.store.isTrusted || this.store.generation !== this.lease?.storeGeneration) return;
+    this.tokens.recordCommit(this.store.fencingTokenOf(revision as number as Version));
+    const { election, latest } = this.tokens;
+    if (this.highestKnown?.fencingToken === election)
+      this.highestKnown = { fencingToken: election, latestToken: latest, node: this.self };
+  }
+
   /** The comparison that guards every write by the leader: the leader's record is still the one that it wrote. */
   leadershipCompare(): Compare {
     return { key: LEADER_KEY, version: this.ownVersion };
@@ -120,13 +142,13 @@
     if (next === previous) return;
     checkTransition(previous, next);
     this.current = next;
-    this.listener.log('leadership', { from: previous, to: next, reason, token: this.ownToken });
+    this.listener.log('leadership', { from: previous, to: next, reason, token: this.tokens.election });
     if (next === 'leading') this.notifyLeading(previous);
     if (next === 'following') this.endTerm(previous, reason);
   }
 
   private notifyLeading(previous: LeadershipState): void {
-    if (previous === 'campaigning') this.listener.onElected(this.ownToken);
+    if (previous === 'campaigning') this.listener.onElected(this.tokens.election);
     else this.listener.onLeaseConfirmedAgain();
   }
 
@@ -138,14 +160,26 @@
   // --- events --------------------------------------------------------------------------------------
 
   /**
-   * To be called with every token received from a peer or a worker; `node` is the leader that it belongs to, if known.
+   * To be called with every token received from a worker, which may be any token of a term; one that is higher than all
+   * known tokens of the known leader belongs to an unknown newer leader.
    */
-  observeToken(token: FencingToken, node: NodeId | null): void {
-    const highest = this.highestKnown?.fencingToken;
-    if (highest !== undefined && token < highest) return;
-    if (node !== null) this.highestKnown = { fencingToken: token, node };
-    else if (highest === undefined || token > highest) this.highestKnown = null;
-    if (token > this.ownToken) this.stepDown('a higher fencing token was received');
+  observeToken(token: FencingToken): void {
+    if (this.highestKnown !== null && token > this.highestKnown.latestToken) this.highestKnown = null;
+    this.stepDownIfHigher(token);
+  }
+
+  /** To be called with every leader that is learned of, with the latest known token of its term. */
+  observeLeader({ fencingToken, latestToken, node }: KnownLeader): void {
+    const known = this.highestKnown;
+    if (known !== null && fencingToken < known.fencingToken) return;
+    const knownLatest = known?.fencingToken === fencingToken ? known.latestToken : fencingToken;
+    const latest = Math.max(knownLatest, latestToken) as FencingToken;
+    this.highestKnown = { fencingToken, latestToken: latest, node };
+    this.stepDownIfHigher(fencingToken);
+  }
+
+  private stepDownIfHigher(token: FencingToken): void {
+    if (token > this.tokens.latest) this.stepDown('a higher fencing token was received');
   }
 
   /** Ends this node's leadership, if it leads. */
@@ -277,7 +311,8 @@
 
   /** Waits for a change of the record of the node that leads. */
   private async followLeader(leader: NodeId, version: Version): Promise<void> {
-    this.observeToken(this.store.fencingTokenOf(version), leader);
+    const fencingToken = this.store.fencingTokenOf(version);
+    this.observeLeader({ fencingToken, latestToken: fencingToken, node: leader });
     const after = version as number as Revision;
     const watched = await this.store.watch(LEADER_KEY, after, WATCH_WAIT_MS);
     if (watched.outcome !== 'events') await this.clock.sleep(RETRY_DELAY_MS);
@@ -347,8 +382,9 @@
   private beginTerm(lease: LeaderLease, version: Version): void {
     this.lease = lease;
     this.ownVersion = version;
-    this.ownToken = this.store.fencingTokenOf(version);
-    this.highestKnown = { fencingToken: this.ownToken, node: this.self };
+    const fencingToken = this.store.fencingTokenOf(version);
+    this.tokens = new TermTokens(this.clock, fencingToken);
+    this.highestKnown = { fencingToken, latestToken: fencingToken, node: this.self };
     this.transitionTo('leading', 'the leader record was written');
   }
 }
--- a/packages/testkit/src/fault-injector.ts
+++ b/packages/testkit/src/fault-injector.ts
@@ -12,6 +12,12 @@
 const MAX_DUPLICATE_DELAY_LEASES = 1.5;
 /** Maximum delay of a direct command, and of its response, in milliseconds. */
 const MAX_COMMAND_DELAY_MS = 9000;
+/**
+ * Minimum delay after which a request that was executed and answered arrives again, in milliseconds, and the maximum in
+ * worker leases, which is more than the time that a cancelled task has to end.
+ */
+const MIN_REPEAT_DELAY_MS = 2000;
+const MAX_REPEAT_DELAY_LEASES = 3;
 /** Maximum boot time under fast boots, in milliseconds. */
 const FAST_BOOT_MS = 1900;
 /** Shares are compared with random numbers in thousandths. */
@@ -24,6 +30,8 @@
   | 'duplicateHeartbeats'
   | 'replayedHeartbeats'
   | 'delayedCommands'
+  | 'repeatedCommands'
+  | 'repeatedWrites'
   | 'cancellationsAtCompletion'
   | 'pollBursts';
 
@@ -55,6 +63,10 @@
   duplicateHeartbeats = 0;
   /** Share of direct commands that are delayed, in either direction. */
   delayedCommands = 0;
+  /** Share of executed direct commands of which a copy arrives later, whose response nobody receives. */
+  repeatedCommands = 0;
+  /** Share of executed and answered transactions of which a copy arrives later. */
+  repeatedWrites = 0;
   /** Machines that cannot reach any controller, though direct commands reach them. */
   readonly outboundPartitioned = new Set<MachineId>();
   /** Machines whose heartbeats arrive, but to which responses and direct commands are lost. */
@@ -66,6 +78,8 @@
     duplicateHeartbeats: 0,
     replayedHeartbeats: 0,
     delayedCommands: 0,
+    repeatedCommands: 0,
+    repeatedWrites: 0,
     cancellationsAtCompletion: 0,
     pollBursts: 0,
   };
@@ -114,10 +128,26 @@
     return MIN_DUPLICATE_DELAY_MS + this.random(max - MIN_DUPLICATE_DELAY_MS);
   }
 
+  /** The delay after which a copy of this executed command arrives, in milliseconds; null if there is none. */
+  commandRepeatDelayMs(): number | null {
+    return this.repeatDelayMs('repeatedCommands');
+  }
+
+  /** The delay after which a copy of this executed transaction arrives, in milliseconds; null if there is none. */
+  writeRepeatDelayMs(): number | null {
+    return this.repeatDelayMs('repeatedWrites');
+  }
+
   /** The delays of a direct command and of its response, in milliseconds. */
   commandDelayMs(): CommandDelay {
     if (!this.shouldInject('delayedCommands')) return { requestMs: 0, responseMs: 0 };
     const ms = this.random(MAX_COMMAND_DELAY_MS);
     return this.random(2) === 0 ? { requestMs: ms, responseMs: 0 } : { requestMs: 0, responseMs: ms };
   }
+
+  private repeatDelayMs(kind: 'repeatedCommands' | 'repeatedWrites'): number | null {
+    if (!this.shouldInject(kind)) return null;
+    const max = this.leaseMs * MAX_REPEAT_DELAY_LEASES;
+    return MIN_REPEAT_DELAY_MS + this.random(max - MIN_REPEAT_DELAY_MS);
+  }
 }
--- a/packages/testkit/src/rule-checker.ts
+++ b/packages/testkit/src/rule-checker.ts
@@ -23,6 +23,8 @@
   killedByLease = 0;
   /** Starts of tasks that were done already: they end at once, but occupy resources until then. */
   startsOfCompletedTasks = 0;
+  /** Attempts of arrays and services that started twice on one machine, which had forgotten them meanwhile. */
+  startsOfForgottenAttempts = 0;
   /** Starts after the job was reported to the user as cancelled, including those that were gone in time. */
   startsOfCancelledJobs = 0;
   /** Called for every job whose last task completed. */
@@ -30,6 +32,7 @@
   /** Called for every run that ends. */
   onRunEnded: ((run: TaskRun) => void) | null = null;
   private readonly running = new RunningTasks();
+  private readonly startedAttempts = new Set<string>();
   private readonly doneTasks = new Map<JobId, Set<number>>();
   private readonly jobs: JobLifetimes;
   private readonly responses: ResponseRules;
@@ -84,6 +87,7 @@
 
   taskStarted(job: JobSpec, task: number, attempt: Attempt, at: TaskPlacement): void {
     this.starts += 1;
+    this.countForgottenAttempt(job, task, attempt, at.machine);
     this.jobs.recordStart(job.id);
     if (this.isTaskDone(job.id, task)) this.startsOfCompletedTasks += 1;
     if (this.responses.cancelledAtMs(job.id) !== undefined) this.startsOfCancelledJobs += 1;
@@ -209,6 +213,14 @@
     return this.jobs.underservedGroups();
   }
 
+  /** A gang's attempt is left out: it may continue on a machine whose agent epoch has ended. */
+  private countForgottenAttempt(job: JobSpec, task: number, attempt: Attempt, machine: MachineId): void {
+    if (job.kind === 'gang') return;
+    const key = `${machine}:${job.id}/${task}#${attempt}`;
+    if (this.startedAttempts.has(key)) this.startsOfForgottenAttempts += 1;
+    this.startedAttempts.add(key);
+  }
+
   private completeJob(id: JobId, doneTasks: number): void {
     const completed = this.jobs.recordCompletion(id, doneTasks);
     if (completed !== null) this.onJobCompleted?.(completed);
--- a/packages/testkit/src/store-client.ts
+++ b/packages/testkit/src/store-client.ts
@@ -71,6 +71,7 @@
     const isResponseLost = mutations.length > 0 && faults.losesResponse();
     return this.call(() => {
       const outcome = this.backend.commit(compares, mutations);
+      if (outcome.outcome === 'committed' && mutations.length > 0) this.repeatLater(compares, mutations);
       return isResponseLost ? null : outcome;
     }, mutations.length);
   }
@@ -113,6 +114,16 @@
     }));
   }
 
+  /** Lets a copy of an executed transaction arrive later, unless the store is down by then. */
+  private repeatLater(compares: readonly Compare[], mutations: readonly Mutation[]): void {
+    const { backend } = this;
+    const delayMs = backend.faults.writeRepeatDelayMs();
+    if (delayMs === null) return;
+    backend.time.after(delayMs, () => {
+      if (!backend.isDown) backend.commit(compares, mutations);
+    });
+  }
+
   /** Executes the transaction later and without a response, unless the store is down by then. */
   private commitLate(
     compares: readonly Compare[],
--- a/packages/testkit/src/store-faults.ts
+++ b/packages/testkit/src/store-faults.ts
@@ -11,6 +11,8 @@
    * a response.
    */
   writeDelayMs(): number | null;
+  /** The delay after which a copy of an executed transaction arrives, in milliseconds; null if there is none. */
+  writeRepeatDelayMs(): number | null;
   /** Whether a transaction is executed and only its response is lost. */
   losesResponse(): boolean;
   /** The additional delay of one message, in milliseconds. */
@@ -20,6 +22,7 @@
 /** No faults. */
 export const NO_STORE_FAULTS: StoreFaults = {
   writeDelayMs: () => null,
+  writeRepeatDelayMs: () => null,
   losesResponse: () => false,
   storeMessageDelayMs: () => 0,
 };
--- a/packages/testkit/src/worker-transport.ts
+++ b/packages/testkit/src/worker-transport.ts
@@ -33,6 +33,13 @@
   readonly recorder: TrafficRecorder;
 }
 
+/** A request with direct commands. */
+interface DirectCommands {
+  readonly token: FencingToken;
+  readonly epoch: AgentEpoch;
+  readonly commands: readonly WorkerCommand[];
+}
+
 /** Carries heartbeats to controllers and commands to workers, subject to the injected faults. */
 export class WorkerTransport {
   constructor(private readonly options: WorkerTransportOptions) {}
@@ -123,12 +130,26 @@
       network.afterDelay(delay.requestMs, () => {
         network.send(host, address, () => {
           if (faults.inboundPartitioned.has(worker.id)) return;
-          worker.receiveCommands(token, epoch, commands, respond);
+          worker.receiveCommands(token, epoch, commands, (isExecuted, report) => {
+            if (isExecuted) this.repeatLater(worker, { token, epoch, commands });
+            respond(isExecuted, report);
+          });
         });
       });
     });
   }
 
+  /** Delivers a copy of an executed request later, also if its sender has ended by then. */
+  private repeatLater(worker: SimulatedWorker, { token, epoch, commands }: DirectCommands): void {
+    const { time, faults } = this.options;
+    const delayMs = faults.commandRepeatDelayMs();
+    if (delayMs === null) return;
+    time.after(delayMs, () => {
+      if (faults.inboundPartitioned.has(worker.id)) return;
+      worker.receiveCommands(token, epoch, commands, () => undefined);
+    });
+  }
+
   private fetchHeartbeat(host: string, address: string): Promise<Heartbeat | null> {
     const { network, faults, workers } = this.options;
     return network.call(host, address, STATUS_TIMEOUT_MS, () => {
--- a/packages/wire/src/peers/forwarded-heartbeat.ts
+++ b/packages/wire/src/peers/forwarded-heartbeat.ts
@@ -29,7 +29,10 @@
   readonly agentEpoch: AgentEpoch;
   readonly sequence: number;
   readonly code: 200 | 503;
+  /** The token for the worker. */
   readonly fencingToken: FencingToken;
+  /** The token of the leader's election, which the token for the worker may exceed. */
+  readonly electionToken: FencingToken;
   /** How long the node may renew the worker's lease on the leader's behalf, in milliseconds from sending the request. */
   readonly delegatedLeaseMs: number;
   readonly commands: readonly WorkerCommand[];
@@ -91,7 +94,8 @@
   .add(new Field('commands', 5, 'Command', 'repeated'))
   .add(new Field('machine', 6, 'string'))
   .add(new Field('session', 7, 'double'))
-  .add(new Field('seq', 8, 'double'));
+  .add(new Field('seq', 8, 'double'))
+  .add(new Field('electionToken', 9, 'double'));
 
 /** Protobuf types of this module, to be added to the namespace of the messages that hold them. */
 export const FORWARDED_HEARTBEAT_TYPES = [
@@ -149,6 +153,8 @@
   readonly seq: number;
   readonly code: number;
   readonly token: number;
+  /** Omitted where it equals `token`; a node of an earlier version does not send it. */
+  readonly electionToken?: number;
   readonly grantMs: number;
   readonly commands: readonly CommandFields[];
 }
@@ -267,6 +273,7 @@
     seq: response.sequence,
     code: response.code,
     token: response.fencingToken,
+    ...(response.electionToken === response.fencingToken ? {} : { electionToken: response.electionToken }),
     grantMs: response.delegatedLeaseMs,
     commands: response.commands.map(formatCommand),
   };
@@ -287,6 +294,7 @@
     sequence: fields.seq,
     code: fields.code === 200 ? 200 : 503,
     fencingToken: fields.token as FencingToken,
+    electionToken: (fields.electionToken || fields.token) as FencingToken,
     delegatedLeaseMs: fields.grantMs,
     commands,
   };
--- a/packages/wire/src/peers/peer-status.ts
+++ b/packages/wire/src/peers/peer-status.ts
@@ -10,8 +10,10 @@
 /** State of a controller node, sent to all peers at intervals and when it changes. */
 export interface PeerStatus extends PeerStoreStatus, PeerShardStatus, PeerConfigurationStatus {
   readonly node: NodeId;
-  /** Highest fencing token that the sender knows; 0 when it knows none. */
+  /** Highest fencing token of an election that the sender knows; 0 when it knows none. */
   readonly fencingToken: FencingToken;
+  /** Highest token of that leader's term that the sender knows. A node of an earlier version does not send it. */
+  readonly latestToken: FencingToken;
   /** The node that the token belongs to; '' when unknown. */
   readonly leader: NodeId;
   /** Whether the key-value store has recently served the sender. */
@@ -82,7 +84,8 @@
   .add(new Field('holds', 13, 'bool'))
   .add(new Field('burden', 14, 'uint32'))
   .add(new Field('configuration', 15, 'uint32'))
-  .add(new Field('configurationAgeMs', 16, 'uint32'));
+  .add(new Field('configurationAgeMs', 16, 'uint32'))
+  .add(new Field('latestToken', 17, 'double'));
 
 /** A status with the field names of its protobuf type. */
 export interface StatusFields {
@@ -102,6 +105,8 @@
   readonly burden: number;
   readonly configuration: number;
   readonly configurationAgeMs: number;
+  /** Omitted where it equals `token`. */
+  readonly latestToken?: number;
 }
 
 /** The protobuf form of a status. */
@@ -123,6 +128,7 @@
     burden: status.leadershipPenalty,
     configuration: status.configurationVersion,
     configurationAgeMs: status.configurationAgeMs,
+    ...(status.latestToken > status.fencingToken ? { latestToken: status.latestToken } : {}),
   };
 }
 
@@ -131,6 +137,7 @@
   return {
     node: fields.node as NodeId,
     fencingToken: fields.token as FencingToken,
+    latestToken: Math.max(fields.token, fields.latestToken ?? 0) as FencingToken,
     leader: fields.leader as NodeId,
     isStoreReachable: fields.stateOk,
     storeEpoch: fields.epoch,
--- a/packages/worker-shards/src/index.ts
+++ b/packages/worker-shards/src/index.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from './known-tokens.js';
 export * from './lease-delegation.js';
 export * from './shard-balancer.js';
 export * from './worker-shard.js';
--- a/packages/worker-shards/test/worker-shards.test.ts
+++ b/packages/worker-shards/test/worker-shards.test.ts
@@ -5,6 +5,7 @@
 import type { MachineId, NodeId, AgentEpoch, FencingToken, Heartbeat } from '@spurbridge/wire';
 import type { ShardOwner } from '../src/index.js';
 import {
+  KnownTokens,
   ShardBalancer,
   LeaseDelegation,
   PendingRequests,
@@ -87,6 +88,24 @@
   assert.equal(delegation.currentToken(fencingToken(8)), null);
 });
 
+test('a delegated lease stays valid under later tokens of its term, and ends when a worker shows one of an unknown term', () => {
+  const clock = new ManualClock();
+  const delegation = new LeaseDelegation(clock);
+  const known = new KnownTokens();
+  known.observeTerm(fencingToken(5), fencingToken(9));
+  known.observeWorker(fencingToken(9));
+  delegation.extend(fencingToken(5), 0 as MonotonicMs, 1000);
+  assert.equal(delegation.currentToken(known.lowestValid), 5);
+  known.observeWorker(fencingToken(12));
+  assert.equal(delegation.currentToken(known.lowestValid), null);
+  // The leader announces that the token is its own.
+  known.observeTerm(fencingToken(5), fencingToken(14));
+  assert.equal(delegation.currentToken(known.lowestValid), 5);
+  known.observeTerm(fencingToken(20), fencingToken(20));
+  known.observeTerm(fencingToken(5), fencingToken(19));
+  assert.equal(delegation.currentToken(known.lowestValid), null);
+});
+
 test('a pending request is completed once: by its target, by timeout, or when the connection ends', async () => {
   const clock = new ManualClock();
   const requests = new PendingRequests<string>(clock, 2000);
