Move the choice of a machine's fencing token to a module of its own

`CommandDispatcher` sends commands; which token a message to a machine carries is decided by `MachineTokens`.

--- a/packages/controller/src/heartbeats/command-dispatcher.ts
+++ b/packages/controller/src/heartbeats/command-dispatcher.ts
@@ -10,6 +10,7 @@
 import type { MachineQueues } from '../placement/machine-queues.js';
 import type { CommandPolicy } from './command-planner.js';
 import { CommandPlanner } from './command-planner.js';
+import { MachineTokens } from './machine-tokens.js';
 import { startCommandKey } from './start-command-key.js';
 
 export { startCommandKey } from './start-command-key.js';
@@ -32,6 +33,7 @@
 /** Sends each machine the commands that are due there, as soon as possible. */
 export class CommandDispatcher {
   private readonly planner: CommandPlanner;
+  private readonly tokens: MachineTokens;
   private concurrentCalls = 0;
   /** Machines that wait for a direct call with stops or with starts of services; they are called first. */
   private readonly urgent = new Set<MachineId>();
@@ -45,6 +47,7 @@
     private readonly receiver: HeartbeatReceiver,
   ) {
     this.planner = new CommandPlanner(term, cluster, policy);
+    this.tokens = new MachineTokens(term);
     cluster.on('commandsDue', (machine) => {
       this.dispatch(machine);
     });
@@ -70,7 +73,7 @@
     }
     const commands = [
       ...this.planner.commandsFor(machine, 'all'),
-      ...this.planner.cleanupCommands(machine, heartbeat, this.tokenForMachine(machine)),
+      ...this.planner.cleanupCommands(machine, heartbeat, this.tokens.tokenFor(machine)),
     ];
     return holdsLease ? commands : commands.filter((command) => this.planner.isStopOfCancelledTask(command));
   }
@@ -83,11 +86,9 @@
     return this.planner.stopsForCancelledTasks(heartbeat);
   }
 
-  /** The fencing token of the response to a heartbeat; the worker drops one that is lower than its own. */
+  /** The fencing token of the response to a heartbeat. */
   tokenForResponse(heartbeat: Heartbeat): FencingToken {
-    const machine = this.cluster.machines.get(heartbeat.machine);
-    const token = machine === undefined ? 0 : this.tokenForMachine(machine);
-    return Math.max(token, this.term.context.leadership.fencingToken, heartbeat.fencingToken) as FencingToken;
+    return this.tokens.tokenForResponse(heartbeat, this.cluster.machines.get(heartbeat.machine));
   }
 
   /** Whether tasks of cancelled jobs may be on the machine, or these commands stop such tasks. */
@@ -95,11 +96,6 @@
     return this.planner.hasCancelledTasks(machine, commands);
   }
 
-  /** The fencing token of messages to a machine. */
-  private tokenForMachine({ fencingToken, issuedToken }: Machine): FencingToken {
-    return Math.max(this.term.context.leadership.fencingToken, fencingToken, issuedToken) as FencingToken;
-  }
-
   /**
    * Raises the machine's token if it is to forget an attempt that was started directly. Otherwise a copy of that start,
    * which may arrive at any time, would start the attempt again (docs/incidents/an-answered-start-came-again.md). While
@@ -107,19 +103,8 @@
    */
   private raiseTokenToForget(machine: Machine, heartbeat: Heartbeat): void {
     if (machine.isSendingCommands) return;
-    if (this.planner.needsHigherToken(machine, heartbeat, this.tokenForMachine(machine)))
-      this.raiseToken(machine);
-  }
-
-  /** Gives the machine the highest token of this term that may be issued, which voids earlier direct commands. */
-  private raiseToken(machine: Machine): void {
-    const { leadership, storeIntegrity, log } = this.term.context;
-    const current = this.tokenForMachine(machine);
-    const raised = leadership.issuableToken;
-    if (raised <= current) return;
-    machine.issuedToken = raised;
-    storeIntegrity.recordIssuedToken(raised);
-    log.debug({ machine: machine.id, from: current, to: raised }, 'fencing token of a machine raised');
+    const token = this.tokens.tokenFor(machine);
+    if (this.planner.needsHigherToken(machine, heartbeat, token)) this.tokens.raise(machine);
   }
 
   /** Sends the machine the commands that are due there, one call at a time, unless too many calls are in progress. */
@@ -177,8 +162,8 @@
       if (commands.length === 0) return;
       const startKeys = startKeysOf(commands);
       // Each call voids the starts of earlier ones, so that the tasks that they started can be forgotten.
-      if (machine.directStarts.size > 0) this.raiseToken(machine);
-      const token = this.tokenForMachine(machine);
+      if (machine.directStarts.size > 0) this.tokens.raise(machine);
+      const token = this.tokens.tokenFor(machine);
       for (const key of startKeys) machine.directStarts.recordSent(key, token);
       const result = await workerClient.sendCommands(machine.address, token, agentEpoch, commands);
       if (!this.term.isActive) return;
