--- a/packages/controller/src/heartbeats/start-command-key.ts
+++ b/packages/controller/src/heartbeats/start-command-key.ts
@@ -6,7 +6,7 @@
 import type { Attempt, JobId } from '@spurbridge/wire';
 import { formatTaskName } from '@spurbridge/wire';
 
-/** The key of an unconfirmed start command that was sent to a machine directly. */
+/** The key of a start command that was sent to a machine directly. */
 export function startCommandKey(job: JobId, task: number, attempt: Attempt): string {
   return `${formatTaskName(job, task)}#${attempt}`;
 }
--- a/packages/controller/src/heartbeats/task-status-handler.ts
+++ b/packages/controller/src/heartbeats/task-status-handler.ts
@@ -138,7 +138,7 @@
 
 /**
  * Whether a stopped task that its machine does not report was never started, which also requires that no direct start
- * of it is unconfirmed.
+ * of it is unanswered. An answered one was executed before a newer heartbeat, which would report the task.
  */
 function wasNeverStarted(
   machine: Machine,
--- a/packages/recovery/src/epoch/fencing-tokens.ts
+++ b/packages/recovery/src/epoch/fencing-tokens.ts
@@ -14,7 +14,7 @@
 /** Minimum rise of the token floor per epoch; more than the number of revisions that a store can create in a second. */
 const TOKENS_PER_EPOCH = 2 ** 20;
 
-/** Returns the fencing token of a leader whose record was written at this version of an epoch. */
+/** Returns the fencing token of a leader whose record, or a later commit of its term, has this version in an epoch. */
 export function fencingTokenAt(tokenFloor: number, version: Version): FencingToken {
   return (tokenFloor + version) as FencingToken;
 }
--- a/packages/recovery/src/phases/contribution-codec.ts
+++ b/packages/recovery/src/phases/contribution-codec.ts
@@ -27,7 +27,7 @@
   readonly pageCount: number;
   /** SHA-256 of the compressed bytes. */
   readonly digest: string;
-  /** Fencing token of this process's latest term as leader; 0 if it never led. */
+  /** Highest fencing token that this process gave to workers as the leader; 0 if it never led. */
   readonly lastLedToken: FencingToken;
   /** Highest token that the process has seen. */
   readonly highestSeenToken: FencingToken;
--- a/packages/recovery/src/phases/recovery-dependencies.ts
+++ b/packages/recovery/src/phases/recovery-dependencies.ts
@@ -35,7 +35,7 @@
   readonly deployment: string | null;
   /** Token floor of the epoch that its replica belongs to. */
   readonly tokenFloor: number;
-  /** Fencing token of this process's latest term as leader; 0 if it never led. */
+  /** Highest fencing token that this process gave to workers as the leader; 0 if it never led. */
   readonly lastLedToken: FencingToken;
   /** Highest token that it has seen. */
   readonly highestSeenToken: FencingToken;
--- a/packages/recovery/src/recoverable-store.ts
+++ b/packages/recovery/src/recoverable-store.ts
@@ -114,7 +114,7 @@
     return { epoch: store.epoch, revision: store.replica.revision, replica: store.replica };
   }
 
-  /** Returns the fencing token of a leader whose record was written at this version. */
+  /** Returns the fencing token of a leader whose record, or a later commit of its term, has this version. */
   fencingTokenOf(version: Version): FencingToken {
     return fencingTokenAt(this.lifecycle.epochStore?.epoch.tokenFloor ?? 0, version);
   }
--- a/packages/recovery/src/store-lifecycle.ts
+++ b/packages/recovery/src/store-lifecycle.ts
@@ -105,7 +105,7 @@
     if (!this.observations.receiveToken(token)) return;
     const { epochStore } = this;
     if (epochStore === null || token <= epochStore.epoch.tokenFloor) return;
-    // A leader's token contains the revision of its election, so the store must have reached that revision.
+    // A token contains the revision of an election or of a later commit, so the store must have reached that revision.
     epochStore.noteRevision(token - epochStore.epoch.tokenFloor);
   }
 
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -72,7 +72,7 @@
   readonly isTrusted: boolean;
   /** Changes when data may have been lost. No lease remains valid across such a change. */
   readonly generation: number;
-  /** The fencing token of a leader whose record has this version. */
+  /** The fencing token of a leader whose record, or a later commit of its term, has this version. */
   fencingTokenOf(version: Version): FencingToken;
   /** Reads one key. */
   read(key: string, priority: RequestPriority): Promise<ReadOutcome>;
--- a/packages/wire/src/ids.ts
+++ b/packages/wire/src/ids.ts
@@ -15,7 +15,7 @@
 /** Name of a controller node, as the settings give it. */
 export type NodeId = Brand<string, 'NodeId'>;
 /**
- * Rises with every change of leader. A worker rejects commands that carry a lower token than the highest it has seen.
+ * Rises with every change of leader, and may rise within the term of one leader. A worker rejects commands that carry a lower token than the highest it has seen.
  */
 export type FencingToken = Brand<number, 'FencingToken'>;
 /** Counts how often the lease of a worker agent has expired, from 1: tasks of an earlier epoch no longer exist. */
