Log a placement that waits on its machine for long

Change: MachineQueues logs once every placement whose start was not sent for 10 s, with its state, whether it was restored, the machine's state and token, and whether the task fits there.

--- a/packages/controller/src/jobs/cluster-events.ts
+++ b/packages/controller/src/jobs/cluster-events.ts
@@ -14,6 +14,8 @@
   jobChanged: [job: Job];
   /** A task was placed; its start is sent once the placement is durable. */
   taskPlaced: [job: Job, task: number];
+  /** A placement was read from a record; an earlier leader may have sent its start. */
+  taskRestored: [job: Job, task: number];
   /** A task is proven to be off its machine, whether done or not; `placement` is its state before the removal. */
   taskRemoved: [job: Job, placement: Placement, done: boolean, why: string];
   /** A task of a job was abandoned and will never be started again. */
--- a/packages/controller/src/jobs/cluster-state.ts
+++ b/packages/controller/src/jobs/cluster-state.ts
@@ -137,6 +137,7 @@
   finishRestore(job: Job): void {
     for (const placement of [...job.placements.values()]) {
       this.addPlacement(job, placement);
+      this.emit('taskRestored', job, placement.task);
       const agentEpoch = this.machines.get(placement.machine)?.agentEpoch ?? null;
       // A machine whose heartbeat was received while the records were being read has already reported its newer agent
       // epoch, which is not detected again. Without this check its task would count as running forever.
--- a/packages/controller/src/leadership/leader.ts
+++ b/packages/controller/src/leadership/leader.ts
@@ -71,7 +71,7 @@
     const handler = new HeartbeatHandler(this.term, this.cluster, this.runtimes);
     this.serviceLevels = new ServiceLevelTracker(this.term, this.cluster);
     this.reconciliation = new Reconciliation(this.term, this.cluster, () => this.fleet.listedAt);
-    this.queues = new MachineQueues(this.cluster, () => clock.now());
+    this.queues = new MachineQueues(this.term, this.cluster);
     this.heartbeats = this.createHeartbeatResponder(handler);
     this.recordWriter = this.createRecordWriter();
     this.fleet = new FleetController(
--- a/packages/controller/src/placement/machine-queues.ts
+++ b/packages/controller/src/placement/machine-queues.ts
@@ -8,10 +8,14 @@
 import type { MonotonicMs } from '@spurbridge/net';
 import { PRIORITY_RANK } from '@spurbridge/planner';
 import type { JobSpec, MachineId } from '@spurbridge/wire';
+import { formatTaskName } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
+import type { LeaderTerm } from '../leadership/leader-term.js';
 
 /** A task that waits longer than this is placed again, because the tasks before it take longer than estimated. */
 const MAX_QUEUE_WAIT_MS = 6000;
+/** A task that still waits after this time is logged, because it is normally placed again before. */
+const LONG_QUEUE_WAIT_MS = 10_000;
 
 interface QueuedTask {
   readonly job: Job;
@@ -30,17 +34,25 @@
  * resources, without a scheduling pass and a commit in between.
  */
 export class MachineQueues {
-  /** Machines on which this leader has placed tasks that may still wait there. */
+  /** Machines on which tasks may wait. */
   private readonly machinesWithQueue = new Set<MachineId>();
+  /** Placements whose long wait is logged already. */
+  private readonly loggedWaits = new WeakSet<Placement>();
 
   constructor(
+    private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
-    private readonly now: () => MonotonicMs,
   ) {
-    cluster.on('taskPlaced', (job, task) => {
+    const watch = (job: Job, task: number): void => {
       const placement = job.placements.get(task);
       if (placement !== undefined && job.gang === null) this.machinesWithQueue.add(placement.machine);
-    });
+    };
+    cluster.on('taskPlaced', watch);
+    cluster.on('taskRestored', watch);
+  }
+
+  private now(): MonotonicMs {
+    return this.term.context.clock.now();
   }
 
   /**
@@ -102,15 +114,39 @@
   evictStale(id: MachineId): void {
     if (!this.machinesWithQueue.has(id)) return;
     const isSchedulable = this.cluster.machines.get(id)?.isSchedulable === true;
-    let hasUnsent = false;
+    let isAnyWaiting = false;
     for (const { job, task } of [...this.cluster.tasksOn(id)]) {
       const placement = job.placements.get(task);
-      if (placement === undefined || !isUnsent(placement)) continue;
-      hasUnsent = true;
-      const reason = placement.state === 'queued' ? this.evictionReason(placement, isSchedulable) : null;
-      if (reason !== null) this.cluster.removePlacement(job, placement, false, reason);
+      if (placement === undefined || !isWaiting(placement)) continue;
+      isAnyWaiting = true;
+      const isEvictable = placement.state === 'queued' && isUnsent(placement);
+      const reason = isEvictable ? this.evictionReason(placement, isSchedulable) : null;
+      if (reason === null) this.logLongWait(job, placement);
+      else this.cluster.removePlacement(job, placement, false, reason);
     }
-    if (!hasUnsent) this.machinesWithQueue.delete(id);
+    if (!isAnyWaiting) this.machinesWithQueue.delete(id);
+  }
+
+  private logLongWait(job: Job, placement: Placement): void {
+    const waitedMs = this.now() - placement.stateSince;
+    if (waitedMs <= LONG_QUEUE_WAIT_MS || this.loggedWaits.has(placement)) return;
+    this.loggedWaits.add(placement);
+    const { task, attempt, state, machine: id, isRestored } = placement;
+    const machine = this.cluster.machines.get(id);
+    this.term.context.log.info(
+      {
+        task: formatTaskName(job.spec.id, task),
+        attempt,
+        state,
+        machine: id,
+        machineState: machine?.state,
+        heartbeatToken: machine?.fencingToken,
+        isRestored,
+        waitedMs: Math.round(waitedMs),
+        fits: machine !== undefined && fits(job.spec, this.freeOn(id, machine.type)),
+      },
+      'task waits on its machine for long',
+    );
   }
 
   private evictionReason(
@@ -124,6 +160,11 @@
   }
 }
 
+/** Whether this leader has sent no start of the placement yet. */
+function isWaiting({ state }: Placement): boolean {
+  return state === 'queued' || state === 'intended';
+}
+
 function compareQueuedTasks(left: QueuedTask, right: QueuedTask): number {
   return (
     PRIORITY_RANK[left.job.spec.priority] - PRIORITY_RANK[right.job.spec.priority] ||
--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -26,7 +26,7 @@
 function createFixture(): Fixture {
   const leader = createLeaderFixture({ leadership: { fencingToken: FENCING_TOKEN } });
   const handler = new HeartbeatHandler(leader.term, leader.cluster, new RuntimeEstimator());
-  return { ...leader, handler, queues: new MachineQueues(leader.cluster, leader.clock.now) };
+  return { ...leader, handler, queues: new MachineQueues(leader.term, leader.cluster) };
 }
 
 let jobCount = 0;
--- a/packages/controller/test/quota-enforcement.test.ts
+++ b/packages/controller/test/quota-enforcement.test.ts
@@ -63,7 +63,7 @@
   loop.requestPass();
   await loop.run();
   assert.deepEqual(usedVersions, [3]);
-  const queues = new MachineQueues(cluster, clock.now);
+  const queues = new MachineQueues(term, cluster);
   queues.startFitting(MACHINE);
   return job;
 }
--- a/packages/controller/test/unanswered-commands.test.ts
+++ b/packages/controller/test/unanswered-commands.test.ts
@@ -83,7 +83,7 @@
   const dispatcher = new CommandDispatcher(
     term,
     cluster,
-    new MachineQueues(cluster, clock.now),
+    new MachineQueues(term, cluster),
     { mayIssueCommands: true, mayPlaceJob: () => true },
     {
       receiveHeartbeat: (heartbeat) => {
