Give up a restored placement once its machine has ruled out its start

Cause: a leader records a service's placement as it requests the preemption that makes room for it; the preemption is in its memory only. It ended while the machine received nothing. The next leader read the placement as queued, knew of no preemption, planned none since the task was placed, and never gave it up, since an earlier leader may have sent its start.

Change: a heartbeat of the worker's own with a token of this term that does not list the task of a restored, queued placement rules out its start. From then on isUnsent holds for it, and it is given up like the leader's own queued placements; the next plan decides anew. isRestored becomes mayHaveEarlierStart.

Why it works: the worker rejects starts of earlier leaders from that token on, would report a task that had started, and this leader sends no start of a queued placement. So no start of it can happen, and the quota and the zones that it held are free.

--- a/packages/controller/src/heartbeats/task-status-handler.ts
+++ b/packages/controller/src/heartbeats/task-status-handler.ts
@@ -49,11 +49,29 @@
       if (placement.agentEpoch !== heartbeat.agentEpoch) continue;
       const status = statuses.get(formatTaskName(job.spec.id, task));
       if (status?.attempt === placement.attempt) this.applyStatus(machine, job, placement, status, now);
-      else if (isComplete && wasNeverStarted(machine, job, placement))
-        this.cluster.removePlacement(job, placement, false, 'never started');
+      else if (isComplete) this.onUnreported(machine, job, placement);
     }
   }
 
+  /**
+   * Processes the absence of a task in a regular heartbeat with a token of this term. The machine has rejected the
+   * starts of earlier leaders since it first received such a token, and would report a task that had started before.
+   */
+  private onUnreported(machine: Machine, job: Job, placement: Placement): void {
+    if (wasNeverStarted(machine, job, placement)) {
+      this.cluster.removePlacement(job, placement, false, 'never started');
+      return;
+    }
+    if (placement.state !== 'queued' || !placement.mayHaveEarlierStart) return;
+    job.ruleOutEarlierStart(placement.task);
+    const task = formatTaskName(job.spec.id, placement.task);
+    const { attempt } = placement;
+    this.term.context.log.debug(
+      { task, attempt, machine: machine.id },
+      'start by an earlier leader ruled out',
+    );
+  }
+
   private applyStatus(
     machine: Machine,
     job: Job,
--- a/packages/controller/src/placement/machine-queues.ts
+++ b/packages/controller/src/placement/machine-queues.ts
@@ -108,8 +108,10 @@
   }
 
   /**
-   * Removes queued tasks that are to be stopped, have waited too long, or are on a machine that accepts no tasks. Their
-   * starts were not sent, so they can be placed elsewhere immediately.
+   * Removes queued tasks that are to be stopped, have waited too long, or are on a machine that accepts no tasks. No
+   * start of them can take effect, so they can be placed elsewhere immediately. A restored task waits until its machine
+   * has ruled out a start by an earlier leader: the previous leader may have intended to free resources for it, which
+   * this one does not know (docs/incidents/waiting-for-a-preemption-that-nobody-repeated.md).
    */
   evictStale(id: MachineId): void {
     if (!this.machinesWithQueue.has(id)) return;
@@ -131,7 +133,7 @@
     const waitedMs = this.now() - placement.stateSince;
     if (waitedMs <= LONG_QUEUE_WAIT_MS || this.loggedWaits.has(placement)) return;
     this.loggedWaits.add(placement);
-    const { task, attempt, state, machine: id, isRestored } = placement;
+    const { task, attempt, state, machine: id, mayHaveEarlierStart } = placement;
     const machine = this.cluster.machines.get(id);
     this.term.context.log.info(
       {
@@ -141,7 +143,7 @@
         machine: id,
         machineState: machine?.state,
         heartbeatToken: machine?.fencingToken,
-        isRestored,
+        mayHaveEarlierStart,
         waitedMs: Math.round(waitedMs),
         fits: machine !== undefined && fits(job.spec, this.freeOn(id, machine.type)),
       },
--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -103,3 +103,39 @@
     [1, 0, 1],
   );
 });
+
+// A restored task waited for ever on a full machine, because nothing ever ruled out that it had been started.
+test('a restored task is evicted once a regular heartbeat with the current fencing token omits it, and not before', () => {
+  const fixture = createFixture();
+  const { cluster, handler, queues, time } = fixture;
+  handler.receive(makeHeartbeat(1), true);
+  const restored = addNewJob(fixture);
+  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
+  cluster.finishRestore(restored);
+  time.now += 60_000;
+  const heartbeats = [
+    { heartbeat: makeHeartbeat(2, [], 4 as FencingToken), isRegular: true, remaining: 1 },
+    { heartbeat: makeHeartbeat(3), isRegular: false, remaining: 1 },
+    { heartbeat: makeHeartbeat(4), isRegular: true, remaining: 0 },
+  ];
+  for (const { heartbeat, isRegular, remaining } of heartbeats) {
+    handler.receive(heartbeat, isRegular);
+    queues.evictAllStale();
+    assert.equal(restored.placements.size, remaining, `sequence number ${heartbeat.sequence}`);
+  }
+  assert.deepEqual(restored.pendingTasks(1), [0], 'the task is placed again');
+});
+
+test('a restored task that this leader has started is not evicted, even if a heartbeat omits it', () => {
+  const fixture = createFixture();
+  const { cluster, handler, queues, time } = fixture;
+  handler.receive(makeHeartbeat(1), true);
+  const restored = addNewJob(fixture);
+  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
+  cluster.finishRestore(restored);
+  assert.ok(queues.startFitting(MACHINE));
+  time.now += 60_000;
+  handler.receive(makeHeartbeat(2), true);
+  queues.evictAllStale();
+  assert.equal(restored.placements.get(0)?.state, 'starting');
+});
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -206,7 +206,7 @@
       agentEpoch,
       attempt,
       state: 'intended' as const,
-      isRestored: false,
+      mayHaveEarlierStart: false,
       stateSince: now,
       placedAt: now,
       runningSince: null,
@@ -267,7 +267,7 @@
       attempt,
       // The tasks of a gang start together, so they do not wait in their machines' queues.
       state: this.gang === null ? 'queued' : 'starting',
-      isRestored: true,
+      mayHaveEarlierStart: true,
       stateSince: now,
       placedAt: now,
       runningSince: null,
@@ -276,6 +276,15 @@
     this.updateGang();
   }
 
+  /**
+   * Records that no start of a restored placement by an earlier leader can take effect any more: its machine does not
+   * know the task, and rejects the tokens of earlier leaders.
+   */
+  ruleOutEarlierStart(task: number): void {
+    const placement = this.placementsByTask.get(task);
+    if (placement !== undefined) placement.mayHaveEarlierStart = false;
+  }
+
   /** Adopts a task that its machine reports although no record places it there. */
   adoptPlacement(
     task: number,
--- a/packages/model/src/placement.ts
+++ b/packages/model/src/placement.ts
@@ -53,8 +53,11 @@
   readonly agentEpoch: AgentEpoch;
   readonly attempt: Attempt;
   readonly state: PlacementState;
-  /** Whether it was restored from a record: an earlier leader may have sent its start. */
-  readonly isRestored: boolean;
+  /**
+   * Whether an earlier leader may have sent a start that can still take effect: the placement was restored from a
+   * record, and its machine has not ruled such a start out yet.
+   */
+  readonly mayHaveEarlierStart: boolean;
   /** When the present state was entered. */
   readonly stateSince: MonotonicMs;
   readonly placedAt: MonotonicMs;
@@ -65,9 +68,9 @@
 }
 
 /**
- * Whether no leader can have sent a start for the placement. Such a placement can be removed at once, without
- * proof from its machine.
+ * Whether no start of the placement can take effect: this leader has sent none, and an earlier leader has not either,
+ * or its start is ruled out. Such a placement can be removed at once, without further proof from its machine.
  */
 export function isUnsent(placement: Placement): boolean {
-  return !placement.isRestored && (placement.state === 'intended' || placement.state === 'queued');
+  return !placement.mayHaveEarlierStart && (placement.state === 'intended' || placement.state === 'queued');
 }
