Stop services and gangs by every heartbeat with a preemption notice

Cause: the stop of a machine's services and gangs before the cloud takes it back was decided once, with the first heartbeat that shows the notice. A new leader receives heartbeats before it has read the records; then no task was known, nothing was stopped, and later heartbeats did not repeat it. The replicas ran until the machine was taken, without a move or a save.

Change: each heartbeat with a notice stops those services and gangs of the machine that are not being stopped yet. A direct call follows only if one was found.

--- a/packages/controller/src/heartbeats/heartbeat-handler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-handler.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Machine } from '@spurbridge/model';
+import type { Job, Machine } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import { addMs } from '@spurbridge/net';
 import type { Heartbeat } from '@spurbridge/wire';
@@ -49,8 +49,11 @@
     if (isOutdated(heartbeat, machine)) return;
     this.updateMachine(machine, heartbeat, addMs(now, -ageMs));
     this.updateState(machine, now);
-    if (heartbeat.preemptionNoticeS !== null && machine.preemptionNoticeAt === null)
-      this.onPreemptionNotice(machine, heartbeat.preemptionNoticeS, now);
+    const { preemptionNoticeS: noticeS } = heartbeat;
+    if (noticeS !== null) {
+      if (machine.preemptionNoticeAt === null) this.onPreemptionNotice(machine, noticeS, now);
+      this.stopTasksBeforePreemption(machine, noticeS, now);
+    }
     // A start in the response to a heartbeat is executed or dropped before the worker's next regular heartbeat, but a
     // direct call may overtake it. Besides, a worker may execute commands of an earlier leader until it reports this
     // leader's token.
@@ -108,24 +111,36 @@
     if (machine.drainReason !== '' && machine.state === 'ready') machine.transitionTo('draining');
   }
 
-  /** Drains a machine that received a preemption notice, and stops its tasks early enough to save checkpoints. */
+  /** Drains a machine that the cloud is about to take back. */
   private onPreemptionNotice(machine: Machine, noticeS: number, now: MonotonicMs): void {
     machine.preemptionNoticeAt = now;
     machine.preemptionDeadline = addMs(now, noticeS * 1000);
     this.term.context.log.info({ machine: machine.id, noticeS }, 'preemption notice received');
     this.cluster.drainMachine(machine, 'notice');
+    this.cluster.emit('replanNeeded');
+  }
+
+  /**
+   * Stops the machine's services and gangs early enough to save checkpoints. Every heartbeat with a notice repeats this
+   * for tasks that are not being stopped yet: a new leader may receive the first one before it has read the records.
+   */
+  private stopTasksBeforePreemption(machine: Machine, noticeS: number, now: MonotonicMs): void {
+    let isAnyStopped = false;
     for (const { job, task } of [...this.cluster.tasksOn(machine.id)]) {
+      if (job.placements.get(task)?.stopRequest !== null) continue;
       const graceS = job.spec.saveS + CHECKPOINT_MARGIN_S;
       if (job.spec.kind === 'service') job.requestStop(task, graceS, 'drained', now);
-      else if (job.spec.kind === 'gang' && job.spec.checkpointS > 0 && noticeS > graceS)
-        if (
-          job.gang?.state !== 'running' ||
-          isWholeGangReachable(this.cluster, this.term.context.settings, job, now)
-        )
-          this.cluster.stopGang(job, graceS, 'drained');
+      else if (this.canSaveGang(job, noticeS, graceS, now)) this.cluster.stopGang(job, graceS, 'drained');
+      else continue;
+      isAnyStopped = true;
     }
-    this.cluster.emit('commandsDue', machine.id);
-    this.cluster.emit('replanNeeded');
+    if (isAnyStopped) this.cluster.emit('commandsDue', machine.id);
+  }
+
+  private canSaveGang(job: Job, noticeS: number, graceS: number, now: MonotonicMs): boolean {
+    if (job.spec.kind !== 'gang' || job.spec.checkpointS <= 0 || noticeS <= graceS) return false;
+    if (job.gang?.state !== 'running') return true;
+    return isWholeGangReachable(this.cluster, this.term.context.settings, job, now);
   }
 }
 
--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -3,7 +3,7 @@
 import type { Job } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import { jobSpec } from '@spurbridge/testkit';
-import type { Attempt, FencingToken, JobId } from '@spurbridge/wire';
+import type { Attempt, FencingToken, Heartbeat, JobId } from '@spurbridge/wire';
 import { HeartbeatHandler } from '../src/heartbeats/heartbeat-handler.js';
 import { MachineQueues } from '../src/placement/machine-queues.js';
 import { RuntimeEstimator } from '../src/placement/runtime-estimator.js';
@@ -139,3 +139,26 @@
   queues.evictAllStale();
   assert.equal(restored.placements.get(0)?.state, 'starting');
 });
+
+// A new leader received the notice before it had read the records, and never moved the replica.
+test('a service is stopped on a machine whose preemption notice was received before the records were read', () => {
+  const fixture = createFixture();
+  const { cluster, handler, queues, time } = fixture;
+  const dispatched: string[] = [];
+  const noticeAt = (sequence: number): Heartbeat => ({ ...makeHeartbeat(sequence), preemptionNoticeS: 60 });
+  handler.receive(noticeAt(1), true);
+  const replica = addNewJob(fixture, { kind: 'service', estimateS: 0 });
+  replica.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
+  cluster.finishRestore(replica);
+  cluster.on('commandsDue', (machine) => dispatched.push(machine));
+  const status = { job: replica.spec.id, task: 0, attempt: 1 as Attempt, saved: false } as const;
+  for (const sequence of [2, 3])
+    handler.receive({ ...noticeAt(sequence), tasks: [{ ...status, phase: 'running', cause: null }] }, true);
+  assert.equal(replica.placements.get(0)?.stopRequest?.reason, 'drained');
+  assert.deepEqual(
+    dispatched,
+    [MACHINE],
+    'the stop is sent at once, and by later heartbeats only in their responses',
+  );
+  assert.ok(!queues.startFitting(MACHINE));
+});
