Delete the task records of done jobs that an earlier leader left

What users saw: nothing yet; the records stay in the key-value store for ever, and every later leader reads them.

Cause: a job with more than one task record is first recorded as done, then its task records are deleted. Which ones remain is known to that leader alone. The next one reads no job for a done record and ignored its task records.

Change: task records whose job's record says done are collected as they are read, and deleted with the priority of other deletions. The two functions that find the job of a task record's key are one (jobOfChunkKey).

--- a/packages/controller/src/jobs/cluster-events.ts
+++ b/packages/controller/src/jobs/cluster-events.ts
@@ -22,6 +22,8 @@
   taskAbandoned: [job: Job, task: number];
   /** All tasks are done, or the job is cancelled. A cancelled job ends again when its last task is off its machine. */
   jobEnded: [job: Job];
+  /** A task record was read whose job is done: its leader ended before it deleted the record. */
+  obsoleteTaskRecordFound: [key: string];
   /** The job has ended and was removed from the cluster state. */
   jobReleased: [job: Job];
   /** Start or stop commands are due on the machine. */
--- a/packages/controller/src/jobs/job-record-reader.ts
+++ b/packages/controller/src/jobs/job-record-reader.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Job, JobRecord } from '@spurbridge/model';
-import { JOB_KEY_PREFIX, TASK_KEY_PREFIX, decodeJob } from '@spurbridge/model';
+import type { JobRecord } from '@spurbridge/model';
+import { JOB_KEY_PREFIX, TASK_KEY_PREFIX, decodeJob, jobKey, jobOfChunkKey } from '@spurbridge/model';
 import type { RequestPriority } from '@spurbridge/net';
 import type { KeyValue, Revision } from '@spurbridge/wire';
 import type { LeaderTerm } from '../leadership/leader-term.js';
@@ -65,16 +65,21 @@
   }
 
   private restore(jobs: readonly KeyValue[], tasks: readonly KeyValue[]): void {
-    for (const item of jobs) this.apply(item);
-    for (const item of tasks) this.cluster.applyTaskRecord(item);
+    const doneJobs = new Set<string>();
+    for (const item of jobs) if (this.apply(item)?.phase === 'done') doneJobs.add(item.key);
+    for (const item of tasks) {
+      const id = jobOfChunkKey(item.key);
+      if (id !== null && doneJobs.has(jobKey(id))) this.cluster.emit('obsoleteTaskRecordFound', item.key);
+      else this.cluster.applyTaskRecord(item);
+    }
     for (const job of this.cluster.jobs.values()) this.cluster.finishRestore(job);
   }
 
   /**
-   * Applies a job's record, whether it comes from a list, a watch or a read after a conflict. Returns null for a job
-   * that has ended, and for a record that cannot be decoded, which is logged.
+   * Applies a job's record, whether it comes from a list, a watch or a read after a conflict, and returns it. A record
+   * that cannot be decoded is logged, and null is returned.
    */
-  apply(item: KeyValue): Job | null {
+  apply(item: KeyValue): JobRecord | null {
     const record = this.decode(item);
     if (record === null) return null;
     this.listener.onJobRecord(record);
@@ -83,7 +88,7 @@
     // The cancellation was not known when the records were last up to date, so it was confirmed after that; `cancel_s`
     // counts from that time at the earliest.
     if (job?.state === 'cancelled' && wasNotCancelled) job.cancelledAfter = this.watcher.knownAsOf;
-    return job;
+    return record;
   }
 
   private decode(item: KeyValue): JobRecord | null {
--- a/packages/controller/src/jobs/record-writer.ts
+++ b/packages/controller/src/jobs/record-writer.ts
@@ -59,6 +59,8 @@
   private readonly closingJobs = new Map<JobId, Job>();
   /** Jobs that have ended and whose task records are to be deleted. */
   private readonly endedJobs = new Set<Job>();
+  /** Task records of done jobs that an earlier leader did not delete before it ended. */
+  private readonly obsoleteKeys = new Set<string>();
   /** Keys that a commit in progress writes or deletes. */
   private readonly busyKeys = new Set<string>();
   private readonly signal = new WakeSignal();
@@ -83,6 +85,7 @@
     cluster.on('jobEnded', (job) => {
       this.onJobEnded(job);
     });
+    cluster.on('obsoleteTaskRecordFound', (key) => this.obsoleteKeys.add(key));
   }
 
   /** Writes due records until the leader's term ends. */
@@ -116,7 +119,11 @@
   private startCommit(): boolean {
     const { clock, leadership, log } = this.term.context;
     if (clock.now() < this.backOffUntil || !leadership.holdsValidLease()) return false;
-    const commit = this.closeNextJob() ?? this.writeDueChunks() ?? this.deleteNextTaskRecords();
+    const commit =
+      this.closeNextJob() ??
+      this.writeDueChunks() ??
+      this.deleteNextTaskRecords() ??
+      this.deleteObsoleteRecords();
     if (commit === null) return false;
     this.commitsInProgress += 1;
     commit
@@ -246,19 +253,35 @@
   }
 
   private async deleteTaskRecords(job: Job, chunks: readonly TaskChunk[]): Promise<void> {
+    const isDeleted = await this.deleteKeys(chunks.map((chunk) => chunkKey(job.spec.id, chunk.index)));
+    if (isDeleted) for (const chunk of chunks) chunk.version = KEY_ABSENT;
+  }
+
+  private deleteObsoleteRecords(): Promise<void> | null {
+    const isIdle = (key: string): boolean => !this.busyKeys.has(key);
+    const keys = [...this.obsoleteKeys]
+      .filter(isIdle)
+      .slice(0, this.term.context.settings.storeLimits.txnOps);
+    if (keys.length === 0) return null;
+    return this.deleteKeys(keys).then((isDeleted) => {
+      if (isDeleted) for (const key of keys) this.obsoleteKeys.delete(key);
+    });
+  }
+
+  /** Deletes task records that nobody needs any more; returns whether the deletion was committed in this term. */
+  private async deleteKeys(keys: readonly string[]): Promise<boolean> {
     const { store, leadership } = this.term.context;
-    const keys = chunks.map((chunk) => chunkKey(job.spec.id, chunk.index));
     for (const key of keys) this.busyKeys.add(key);
     const mutations = keys.map((key) => ({ delete: key }));
     const outcome = await store.commit([leadership.leadershipCompare()], mutations, DELETION_PRIORITY);
     for (const key of keys) this.busyKeys.delete(key);
-    if (!this.term.isActive) return;
+    if (!this.term.isActive) return false;
     if (outcome.outcome !== 'committed') {
       await this.onCommitFailed(outcome, []);
-      return;
+      return false;
     }
     leadership.recordCommit(outcome.revision);
-    for (const chunk of chunks) chunk.version = KEY_ABSENT;
+    return true;
   }
 
   // --- failed commits ----------------------------------------------------------------------------
--- a/packages/model/src/record.ts
+++ b/packages/model/src/record.ts
@@ -37,6 +37,12 @@
   return `${TASK_KEY_PREFIX}${id}/${index}`;
 }
 
+/** The job that a task record belongs to; null if the key is not that of a task record. */
+export function jobOfChunkKey(key: string): JobId | null {
+  if (!key.startsWith(TASK_KEY_PREFIX)) return null;
+  return key.slice(TASK_KEY_PREFIX.length, key.lastIndexOf('/')) as JobId;
+}
+
 /**
  * The record of a job as a whole. Any node may write it; only the leader writes the separate task records.
  */
--- a/packages/recovery/src/replica/replica.ts
+++ b/packages/recovery/src/replica/replica.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { JOB_KEY_PREFIX, TASK_KEY_PREFIX, decodeJob } from '@spurbridge/model';
+import { JOB_KEY_PREFIX, TASK_KEY_PREFIX, decodeJob, jobOfChunkKey } from '@spurbridge/model';
 import type { KeyValue, Mutation, Revision, Version, WatchEvent } from '@spurbridge/wire';
 import { isControlKey } from '../epoch/control-keys.js';
 import { CompactedJobs } from './compacted-jobs.js';
@@ -133,7 +133,7 @@
 
   /** Compacts the job of a removed task record if it has ended and this was its last task record. */
   private compactJobOfLastTaskRecord(taskRecordKey: string): void {
-    const jobId = jobIdOfTaskRecordKey(taskRecordKey);
+    const jobId = jobOfChunkKey(taskRecordKey);
     if (jobId === null || this.taskRecordCounts.has(jobId)) return;
     const record = this.entriesByKey.get(JOB_KEY_PREFIX + jobId);
     if (record !== undefined)
@@ -141,7 +141,7 @@
   }
 
   private countTaskRecord(key: string, difference: number): void {
-    const jobId = jobIdOfTaskRecordKey(key);
+    const jobId = jobOfChunkKey(key);
     if (jobId === null) return;
     const count = (this.taskRecordCounts.get(jobId) ?? 0) + difference;
     if (count > 0) this.taskRecordCounts.set(jobId, count);
@@ -152,8 +152,3 @@
 function jobIdOfJobKey(key: string): string | null {
   return key.startsWith(JOB_KEY_PREFIX) ? key.slice(JOB_KEY_PREFIX.length) : null;
 }
-
-function jobIdOfTaskRecordKey(key: string): string | null {
-  if (!key.startsWith(TASK_KEY_PREFIX)) return null;
-  return key.slice(TASK_KEY_PREFIX.length, key.lastIndexOf('/'));
-}
--- a/packages/testkit/test/restored-placements.test.ts
+++ b/packages/testkit/test/restored-placements.test.ts
@@ -19,7 +19,7 @@
 const CANCEL_S = 42;
 /** The machines are up, and the first jobs run. */
 const SETTLED_MS = 40_000;
-const CHECK_INTERVAL_MS = 10;
+const CHECK_INTERVAL_MS = 5;
 const LOW_SERVICE = service(1, { priority: 'low', cpus: 14, zone: 'a' });
 const URGENT_SERVICE = service(9, { priority: 'production', cpus: 12 });
 
@@ -135,3 +135,18 @@
   assert.equal(world.checker.runningTasksOf(LOW_SERVICE.id), 0, 'the low-priority service made room');
   assertNoViolations(world);
 });
+
+// The records of a done job with more than one task record are deleted after the job's own record is written.
+test('the next leader deletes the task records of a done job that the previous leader did not delete', async () => {
+  const world = leaderCheckedWorld(8);
+  const taskRecords = (): number =>
+    [0, 1, 2].filter((chunk) => world.store.peek(`t/${jobId(1)}/${chunk}`) !== undefined).length;
+  await world.runUntil(SETTLED_MS);
+  world.startUser(jobSpec({ id: jobId(1), tasks: 600, cpus: 0.25, memoryGb: 0.1, estimateS: 1 }), null);
+  await runUntilTrue(world, () => world.recordedPhaseOf(jobId(1)) === 'done', 300_000, 'the job is done');
+  assert.ok(taskRecords() > 0, 'the task records are deleted already');
+  crashLeader(world, 200);
+  await runUntilTrue(world, () => taskRecords() === 0, STARVATION_LIMIT_MS, 'the task records are deleted');
+  assert.equal(world.recordedPhaseOf(jobId(1)), 'done');
+  assertNoViolations(world);
+});
