Reserve a machine's free resources for the service that preempts there

Cause: a service without a place preempts in one plan and is placed in the next. The jobs behind it in the first plan took what was free beside the preempted task, so that the preemption was in vain and was repeated with the roles changed.

Change: preemptFor reserves the resources for a task that has no place in a queue on the machine where it preempts, for the rest of that plan.

--- a/packages/planner/src/scheduling/preemption.ts
+++ b/packages/planner/src/scheduling/preemption.ts
@@ -5,7 +5,7 @@
  */
 
 import { EPSILON } from '@spurbridge/model';
-import type { JobView, Occupant } from '../cluster-snapshot.js';
+import type { JobView, MachineView, Occupant } from '../cluster-snapshot.js';
 import type { PreemptionCandidate } from './preemption-index.js';
 import type { SchedulingPass } from './scheduling-pass.js';
 import { imageFetchS, isMachineAllowed } from './types.js';
@@ -26,7 +26,13 @@
   readonly cost: number;
   /** The estimated end of the task there, in seconds from now. */
   readonly endS: number;
-  readonly zone: string;
+  readonly machine: MachineView;
+}
+
+/** An option that was selected for a task. */
+interface ChosenOption extends PreemptionOption {
+  /** Whether the task has no place in a queue, because it would never start without preemption. */
+  readonly isUnplaced: boolean;
 }
 
 /** The options of a job for preemption. */
@@ -58,7 +64,11 @@
   const chosen = chooseOptions(job, options, latestFirst, slotsBeingFreed);
   const taskCount = slotsBeingFreed + chosen.length;
   if (job.spec.kind === 'gang' && taskCount < latestFirst.length) return 0;
-  for (const option of chosen) for (const victim of option.victims) pass.preempt(victim, job.spec.id);
+  for (const { victims, machine, isUnplaced } of chosen) {
+    for (const victim of victims) pass.preempt(victim, job.spec.id);
+    // Otherwise a later job of this pass would take what is free there already, and the preemption would be in vain.
+    if (isUnplaced) pass.reserve(job, machine.id);
+  }
   return Math.min(taskCount, latestFirst.length);
 }
 
@@ -119,7 +129,7 @@
       victims: victims.slice(firstVictim, index + 1).filter((other) => !pass.preempted.has(other)),
       cost: lostWork + fetchS * FETCH_COST_PER_S,
       endS,
-      zone: machine.zone,
+      machine,
     });
     firstVictim = index + 1;
     lostWork = 0;
@@ -135,20 +145,21 @@
   options: readonly PreemptionOption[],
   latestFirst: readonly number[],
   skippedTasks: number,
-): PreemptionOption[] {
+): ChosenOption[] {
   const { spec, placedZones } = job;
   const maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
   const tasksByZone = new Map<string, number>();
   for (const zone of placedZones) tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + 1);
-  const chosen: PreemptionOption[] = [];
+  const chosen: ChosenOption[] = [];
   for (const option of options) {
     const waitingEndS = latestFirst[skippedTasks + chosen.length];
     if (waitingEndS === undefined) break;
     if (option.endS + MIN_GAIN_S > waitingEndS) continue;
-    const tasksInZone = tasksByZone.get(option.zone) ?? 0;
+    const { zone } = option.machine;
+    const tasksInZone = tasksByZone.get(zone) ?? 0;
     if (tasksInZone >= maxPerZone) continue;
-    tasksByZone.set(option.zone, tasksInZone + 1);
-    chosen.push(option);
+    tasksByZone.set(zone, tasksInZone + 1);
+    chosen.push({ ...option, isUnplaced: waitingEndS === Infinity });
   }
   return chosen;
 }
--- a/packages/planner/src/scheduling/scheduling-pass.ts
+++ b/packages/planner/src/scheduling/scheduling-pass.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { JobId, JobSpec } from '@spurbridge/wire';
+import type { JobId, JobSpec, MachineId } from '@spurbridge/wire';
 import type { ClusterSnapshot, JobView, MachineView, Occupant } from '../cluster-snapshot.js';
 import { EarliestStartIndex, sizeClassOf } from './earliest-start-index.js';
 import { MachineQueue } from './machine-queue.js';
@@ -72,6 +72,8 @@
   private readonly remainingQuotas: ReadonlyMap<string, Quota>;
   private readonly resourcePools = new Map<ResourceDimension, ResourcePool>();
   private readonly startIndexes = new Map<string, EarliestStartIndex>();
+  /** The index of each machine's queue; empty until it is first needed. */
+  private readonly queueIndexes = new Map<MachineId, number>();
   private readonly starts: TaskStart[] = [];
   private readonly queuedStarts: TaskStart[] = [];
   private readonly preemptions: TaskPreemption[] = [];
@@ -175,6 +177,22 @@
     this.preemptions.push({ job: victim.job, task: victim.task, preemptor });
   }
 
+  /** Reserves resources for a task of the job on a machine where other tasks are being stopped for it. */
+  reserve({ spec, estimateS }: JobView, id: MachineId): void {
+    const queueIndex = this.findQueueIndex(id);
+    const queue = this.queues[queueIndex]?.copy();
+    if (queue === undefined) return;
+    queue.add(spec, 0, spec.kind === 'service' ? Infinity : estimateS);
+    this.queues[queueIndex] = queue;
+    this.currentRevision += 1;
+  }
+
+  private findQueueIndex(id: MachineId): number {
+    if (this.queueIndexes.size === 0)
+      for (const [index, { machine }] of this.queues.entries()) this.queueIndexes.set(machine.id, index);
+    return this.queueIndexes.get(id) ?? -1;
+  }
+
   /** Records tasks of a job that cannot start now, if there are any. */
   recordUnplaced(
     job: JobView,
--- a/packages/planner/test/scheduling.test.ts
+++ b/packages/planner/test/scheduling.test.ts
@@ -55,6 +55,29 @@
   assert.equal(planTasks(snapshot([samePriority, array], [machine(0)])).starts[0]?.job, jobId(1));
 });
 
+// The second service took what was free beside the first one, which was preempted in vain; then the roles changed, 25
+// times a second, and the urgent service never started.
+test('resources that are free beside a preempted task are reserved for the preemptor', () => {
+  const low = jobSpec({ id: jobId(1), kind: 'service', cpus: 2, tasks: 1, estimateS: 0, priority: 'low' });
+  const urgent = jobSpec({
+    id: jobId(2),
+    kind: 'service',
+    cpus: 3,
+    tasks: 1,
+    estimateS: 0,
+    priority: 'high',
+  });
+  const running = occupant({ cpus: 2, remainingS: Infinity, priority: 'low', team: 'red' });
+  const plan = planTasks(
+    snapshot(
+      [jobView(low), jobView(urgent, { toleratedWaitS: 0 })],
+      [machine(0, 0, { occupants: [running] })],
+    ),
+  );
+  assert.deepEqual(plan.preemptions, [{ job: running.job, task: 0, preemptor: urgent.id }]);
+  assert.deepEqual([...plan.starts, ...plan.queuedStarts], []);
+});
+
 // With the waits of all tasks added up, a large array exceeded the starvation threshold within seconds.
 test('a large array with a short mean wait does not count as starved', () => {
   const large = jobView(jobSpec({ id: jobId(1), cpus: 4, tasks: 30, estimateS: 20 }), { totalWaitS: 120 });
