Reserve where an array or a delayed task preempts, too

Change: preemptFor reserves for every task that it preempts for.

Result: the array's test in scheduling.test.ts fails before and passes with the change; all planner tests pass.

--- a/packages/planner/src/scheduling/preemption.ts
+++ b/packages/planner/src/scheduling/preemption.ts
@@ -29,12 +29,6 @@
   readonly machine: MachineView;
 }
 
-/** An option that was selected for a task. */
-interface ChosenOption extends PreemptionOption {
-  /** Whether the task has no place in a queue, because it would never start without preemption. */
-  readonly isUnplaced: boolean;
-}
-
 /** The options of a job for preemption. */
 interface PreemptionOptions {
   readonly options: PreemptionOption[];
@@ -64,10 +58,10 @@
   const chosen = chooseOptions(job, options, latestFirst, slotsBeingFreed);
   const taskCount = slotsBeingFreed + chosen.length;
   if (job.spec.kind === 'gang' && taskCount < latestFirst.length) return 0;
-  for (const { victims, machine, isUnplaced } of chosen) {
+  for (const { victims, machine } of chosen) {
     for (const victim of victims) pass.preempt(victim, job.spec.id);
     // Otherwise a later job of this pass would take what is free there already, and the preemption would be in vain.
-    if (isUnplaced) pass.reserve(job, machine.id);
+    pass.reserve(job, machine.id);
   }
   return Math.min(taskCount, latestFirst.length);
 }
@@ -145,12 +139,12 @@
   options: readonly PreemptionOption[],
   latestFirst: readonly number[],
   skippedTasks: number,
-): ChosenOption[] {
+): PreemptionOption[] {
   const { spec, placedZones } = job;
   const maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
   const tasksByZone = new Map<string, number>();
   for (const zone of placedZones) tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + 1);
-  const chosen: ChosenOption[] = [];
+  const chosen: PreemptionOption[] = [];
   for (const option of options) {
     const waitingEndS = latestFirst[skippedTasks + chosen.length];
     if (waitingEndS === undefined) break;
@@ -159,7 +153,7 @@
     const tasksInZone = tasksByZone.get(zone) ?? 0;
     if (tasksInZone >= maxPerZone) continue;
     tasksByZone.set(zone, tasksInZone + 1);
-    chosen.push({ ...option, isUnplaced: waitingEndS === Infinity });
+    chosen.push(option);
   }
   return chosen;
 }
--- a/packages/planner/test/scheduling.test.ts
+++ b/packages/planner/test/scheduling.test.ts
@@ -57,26 +57,19 @@
 
 // The second service took what was free beside the first one, which was preempted in vain; then the roles changed, 25
 // times a second, and the urgent service never started.
-test('resources that are free beside a preempted task are reserved for the preemptor', () => {
-  const low = jobSpec({ id: jobId(1), kind: 'service', cpus: 2, tasks: 1, estimateS: 0, priority: 'low' });
-  const urgent = jobSpec({
-    id: jobId(2),
-    kind: 'service',
-    cpus: 3,
-    tasks: 1,
-    estimateS: 0,
-    priority: 'high',
+for (const kind of ['service', 'array'] as const)
+  test(`resources that are free beside a preempted task are reserved for the preemptor: ${kind}`, () => {
+    const low = jobSpec({ id: jobId(1), kind: 'service', cpus: 2, tasks: 1, estimateS: 0, priority: 'low' });
+    const estimateS = kind === 'service' ? 0 : 5;
+    const urgent = jobSpec({ id: jobId(2), kind, cpus: 3, tasks: 1, estimateS, priority: 'high' });
+    const running = occupant({ cpus: 2, remainingS: Infinity, priority: 'low', team: 'red' });
+    // The urgent array could also start here, but only in a minute.
+    const machineOfLongTask = machine(3, 0, { occupants: [occupant({ priority: 'production' })] });
+    const machines = [machine(0, 0, { occupants: [running] }), machineOfLongTask];
+    const plan = planTasks(snapshot([jobView(low), jobView(urgent)], machines));
+    assert.deepEqual(plan.preemptions, [{ job: running.job, task: 0, preemptor: urgent.id }]);
+    assert.deepEqual([...plan.starts, ...plan.queuedStarts], []);
   });
-  const running = occupant({ cpus: 2, remainingS: Infinity, priority: 'low', team: 'red' });
-  const plan = planTasks(
-    snapshot(
-      [jobView(low), jobView(urgent, { toleratedWaitS: 0 })],
-      [machine(0, 0, { occupants: [running] })],
-    ),
-  );
-  assert.deepEqual(plan.preemptions, [{ job: running.job, task: 0, preemptor: urgent.id }]);
-  assert.deepEqual([...plan.starts, ...plan.queuedStarts], []);
-});
 
 // With the waits of all tasks added up, a large array exceeded the starvation threshold within seconds.
 test('a large array with a short mean wait does not count as starved', () => {
