--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -126,6 +126,24 @@
   assert.deepEqual(restored.pendingTasks(1), [0], 'the task is placed again');
 });
 
+test('a restored task on a draining machine is evicted as soon as its start is ruled out', () => {
+  const fixture = createFixture();
+  const { cluster, handler, queues, time } = fixture;
+  handler.receive(makeHeartbeat(1), true);
+  const restored = addNewJob(fixture);
+  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
+  cluster.finishRestore(restored);
+  const machine = cluster.machines.get(MACHINE);
+  assert.ok(machine !== undefined);
+  cluster.drainMachine(machine, 'slow');
+  queues.evictAllStale();
+  assert.equal(restored.placements.size, 1);
+  handler.receive(makeHeartbeat(2), true);
+  queues.evictAllStale();
+  assert.equal(restored.placements.size, 0);
+  assert.equal(cluster.taskCountOn(MACHINE), 0, 'the machine can be released');
+});
+
 test('a restored task that this leader has started is not evicted, even if a heartbeat omits it', () => {
   const fixture = createFixture();
   const { cluster, handler, queues, time } = fixture;
