--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -38,6 +38,14 @@
   return addJob(cluster, jobSpec({ id, cpus: 4, tasks: 1, ...overrides }));
 }
 
+/** Adds a job whose task is placed on the machine by a record. */
+function addRestoredJob(fixture: Fixture, overrides: Partial<Parameters<typeof jobSpec>[0]> = {}): Job {
+  const job = addNewJob(fixture, overrides);
+  job.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, fixture.time.now as MonotonicMs);
+  fixture.cluster.finishRestore(job);
+  return job;
+}
+
 // A start was in flight in a heartbeat response when the machine responded to a direct stop. The leader concluded that
 // the task had never started and placed it elsewhere, and then it started on the first machine as well.
 test('a stopped task counts as never started only if a regular heartbeat with the current fencing token omits it', () => {
@@ -76,7 +84,7 @@
   assert.equal(array.placements.get(0)?.state, 'queued');
 });
 
-test('queued tasks are evicted if they wait too long or are to be stopped, but restored tasks are not', () => {
+test('queued tasks are evicted if they wait too long or are to be stopped, but restored tasks are not before their start is ruled out', () => {
   const fixture = createFixture();
   const { cluster, handler, queues, time } = fixture;
   handler.receive(makeHeartbeat(1), true);
@@ -87,9 +95,7 @@
   const stopped = addNewJob(fixture);
   placeFirstTask(cluster, waiting);
   placeFirstTask(cluster, stopped);
-  const restored = addNewJob(fixture);
-  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
-  cluster.finishRestore(restored);
+  const restored = addRestoredJob(fixture);
   stopped.requestStop(0, 0, 'preempted', time.now as MonotonicMs);
   queues.evictStale(MACHINE);
   assert.deepEqual(
@@ -107,11 +113,9 @@
 // A restored task waited for ever on a full machine, because nothing ever ruled out that it had been started.
 test('a restored task is evicted once a regular heartbeat with the current fencing token omits it, and not before', () => {
   const fixture = createFixture();
-  const { cluster, handler, queues, time } = fixture;
+  const { handler, queues, time } = fixture;
   handler.receive(makeHeartbeat(1), true);
-  const restored = addNewJob(fixture);
-  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
-  cluster.finishRestore(restored);
+  const restored = addRestoredJob(fixture);
   time.now += 60_000;
   const heartbeats = [
     { heartbeat: makeHeartbeat(2, [], 4 as FencingToken), isRegular: true, remaining: 1 },
@@ -128,11 +132,9 @@
 
 test('a restored task on a draining machine is evicted as soon as its start is ruled out', () => {
   const fixture = createFixture();
-  const { cluster, handler, queues, time } = fixture;
+  const { cluster, handler, queues } = fixture;
   handler.receive(makeHeartbeat(1), true);
-  const restored = addNewJob(fixture);
-  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
-  cluster.finishRestore(restored);
+  const restored = addRestoredJob(fixture);
   const machine = cluster.machines.get(MACHINE);
   assert.ok(machine !== undefined);
   cluster.drainMachine(machine, 'slow');
@@ -146,11 +148,9 @@
 
 test('a restored task that this leader has started is not evicted, even if a heartbeat omits it', () => {
   const fixture = createFixture();
-  const { cluster, handler, queues, time } = fixture;
+  const { handler, queues, time } = fixture;
   handler.receive(makeHeartbeat(1), true);
-  const restored = addNewJob(fixture);
-  restored.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
-  cluster.finishRestore(restored);
+  const restored = addRestoredJob(fixture);
   assert.ok(queues.startFitting(MACHINE));
   time.now += 60_000;
   handler.receive(makeHeartbeat(2), true);
@@ -161,13 +161,11 @@
 // A new leader received the notice before it had read the records, and never moved the replica.
 test('a service is stopped on a machine whose preemption notice was received before the records were read', () => {
   const fixture = createFixture();
-  const { cluster, handler, queues, time } = fixture;
+  const { cluster, handler, queues } = fixture;
   const dispatched: string[] = [];
   const noticeAt = (sequence: number): Heartbeat => ({ ...makeHeartbeat(sequence), preemptionNoticeS: 60 });
   handler.receive(noticeAt(1), true);
-  const replica = addNewJob(fixture, { kind: 'service', estimateS: 0 });
-  replica.restorePlacement(0, MACHINE, AGENT_EPOCH, 1 as Attempt, time.now as MonotonicMs);
-  cluster.finishRestore(replica);
+  const replica = addRestoredJob(fixture, { kind: 'service', estimateS: 0 });
   cluster.on('commandsDue', (machine) => dispatched.push(machine));
   const status = { job: replica.spec.id, task: 0, attempt: 1 as Attempt, saved: false } as const;
   for (const sequence of [2, 3])
--- a/packages/testkit/src/contended-days.ts
+++ b/packages/testkit/src/contended-days.ts
@@ -17,7 +17,7 @@
 /** Length of a day, in milliseconds. */
 export const CONTENDED_DAY_MS = FAULTS_END_MS + STARVATION_DETECTION_MS;
 
-/** One machine in each zone, and one spot machine, which services do not use. */
+/** Each zone has one on-demand machine and one spot machine; services use only the former. */
 const ZONES = ['a', 'b', 'c', 'd'];
 const MACHINE_TYPES = [{ ...machineType('m16', 16), zones: ZONES }];
 const CAPACITY = 1;
@@ -70,7 +70,7 @@
 }
 
 /**
- * Fills the fleet with work of low priority, then repeatedly submits a service of high priority, partitions machines,
+ * Fills the fleet with services of low priority and long arrays, then repeatedly submits a service of high priority, partitions machines,
  * and ends the leader; adds two other faults. Returns the names of the faults.
  */
 export function startContendedDay(world: World): string[] {
