--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -54,7 +54,11 @@
   report() {
     this.tally += 1;
     const { nameId, build, yard, loaners } = this.machine;
-    const pieces = [...this.tasks.values()].map((task) => ({
+    const all = [...this.tasks.values()];
+    const isExited = ({ phase }) => phase === 'exited';
+    // The protocol sets no order of the tasks in a report.
+    const listed = this.world.listsLiveFirst ? [...all.filter((task) => !isExited(task)), ...all.filter(isExited)] : all;
+    const pieces = listed.map((task) => ({
       piece: task.piece,
       try: task.try,
       phase: task.phase,
@@ -110,8 +114,11 @@
         const chunks = [];
         response.on('data', (chunk) => chunks.push(chunk));
         response.on('error', () => tryNext('connection failed'));
-        response.on('end', () => {
+        response.on('end', async () => {
           clearTimeout(timeout);
+          const lateMs = this.world.answerDelayMs?.(this) ?? 0;
+          if (lateMs > 0) await new Promise((resolve) => setTimeout(resolve, lateMs));
+          if (this.isStopped) return;
           const text = Buffer.concat(chunks).toString('utf8');
           let parsed = null;
           try {
@@ -256,7 +263,10 @@
     this.world.onStart(this, task);
     const { runS, spec } = task.job;
     if (this.world.results.has(task.piece)) this.exit(task, 'done');
-    else if (spec.shape !== 'daemon') task.timer = setTimeout(() => this.exit(task, 'done'), runS * 1000);
+    else if (spec.shape !== 'daemon') {
+      const seconds = typeof runS === 'function' ? runS(Number(task.piece.slice(task.piece.lastIndexOf('/') + 1))) : runS;
+      task.timer = setTimeout(() => this.exit(task, 'done'), seconds * 1000);
+    }
     this.changed();
   }
 
