--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -262,7 +262,8 @@
     task.isOn = true;
     this.world.onStart(this, task);
     const { runS, spec } = task.job;
-    if (this.world.results.has(task.piece)) this.exit(task, 'done');
+    if (this.world.failsTasks?.(this)) task.timer = setTimeout(() => this.exit(task, 'error'), 100);
+    else if (this.world.results.has(task.piece)) this.exit(task, 'done');
     else if (spec.shape !== 'daemon') {
       const seconds = typeof runS === 'function' ? runS(Number(task.piece.slice(task.piece.lastIndexOf('/') + 1))) : runS;
       task.timer = setTimeout(() => this.exit(task, 'done'), seconds * 1000);
