--- a/review/stand-ins-2/world.mjs
+++ b/review/stand-ins-2/world.mjs
@@ -16,12 +16,25 @@
 /** Whether the disruption takes place. */
 export const TROUBLE = process.env.TROUBLE !== '0';
 
+const FIRST_PORT = 15_000;
+const PORTS = 15_000;
+
+/**
+ * A free port below the range from which the system takes the ports of outgoing connections, so that a controller finds
+ * its port free when it comes back.
+ */
 async function freePort() {
-  const server = net.createServer();
-  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 /** Three machine types and three zones of the plan builders' deployment (BRIEF). */
