--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -12,7 +12,6 @@
 const standing = Array.from({ length: 12 }, (_, index) => ({ build: 'ozols', yard: zones[index % 3] }));
 
 const world = new World({ directory: process.env.DIR ?? path.dirname(fileURLToPath(import.meta.url)), standing, capacity: { ozols: 12 } });
-world.recordsTasks = false;
 
 await runCase(world, async () => {
   await world.submit(job('wk-000001', { pieces: 3 }), 5);
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -91,7 +91,8 @@
     const sentAt = now();
     this.lastSentAt = sentAt;
     const shift = this.shift;
-    const body = JSON.stringify(this.report());
+    const sent = this.report();
+    const body = JSON.stringify(sent);
     const controller = this.world.controllers[this.node];
     const finish = (next) => {
       if (!this.inFlight || isOver) return;
@@ -120,6 +121,8 @@
           if (lateMs > 0) await new Promise((resolve) => setTimeout(resolve, lateMs));
           if (this.isStopped) return;
           const text = Buffer.concat(chunks).toString('utf8');
+          const { pieces } = sent;
+          this.world.record('report answered', { rig: sent.rig, label: controller.label, tally: sent.tally, status: response.statusCode, bytes: body.length, count: pieces.length, pieces: pieces.slice(0, 60) });
           let parsed = null;
           try {
             parsed = JSON.parse(text);
@@ -217,6 +220,7 @@
 
   execute(orders) {
     if (orders.length === 0) return;
+    this.world.record('orders', { rig: this.machine.nameId, count: orders.length, orders: orders.slice(0, 60) });
     for (const { verb, piece, try: attempt, windDownS = 0 } of orders) {
       const key = `${piece}#${attempt}`;
       if (verb === 'start') this.startTask(piece, attempt);
--- a/review/stand-ins-2/world.mjs
+++ b/review/stand-ins-2/world.mjs
@@ -198,12 +198,12 @@
     return this.controllers.find((controller) => controller.label === label) ?? null;
   }
 
-  /** Peak and present resident memory of a controller in MB. */
+  /** A controller's memory in MB: its own (without the program's shared pages), and all that is resident. */
   memoryOf(controller) {
     try {
       const text = fs.readFileSync(`/proc/${controller.process.pid}/status`, 'utf8');
       const field = (name) => Number(new RegExp(`^${name}:\\s+(\\d+) kB`, 'm').exec(text)[1]) / 1000;
-      return { peakMb: field('VmHWM'), presentMb: field('VmRSS') };
+      return { ownMb: field('RssAnon'), presentMb: field('VmRSS') };
     } catch {
       return null;
     }
@@ -251,6 +251,7 @@
   /** Submits a job as a user does, with retries for 60 s; the task runs for `runS`. */
   async submit(spec, runS) {
     this.jobs.set(spec.nameId, { spec, runS });
+    this.record('submission sent', spec);
     const until = performance.now() + 60_000;
     for (;;) {
       const answer = await this.call(this.anyController(), 'POST', '/submissions', spec);
@@ -268,6 +269,7 @@
 
   async cancel(id, forMs = 60_000) {
     const until = performance.now() + forMs;
+    this.record('cancellation sent', { nameId: id });
     for (;;) {
       const answer = await this.call(this.anyController(), 'POST', `/submissions/${id}/cancel`);
       this.record('cancellation answered', { nameId: id, status: answer.status, body: answer.body });
