Find a task's status in a heartbeat by its attempt

Cause: a machine reports an exited attempt until it is told to forget it. TaskStatusHandler.receive and correctRecords collected the statuses of a report by task, so that the attempt listed last hid the other. A hidden attempt that was to be stopped counted as never started, and the task was placed elsewhere while it saved its checkpoint.

Change: ReportedAttempts finds a status by job, task and attempt. The reconciliation adopts completed tasks before running ones, since that, too, depended on the order of a list. The name of an attempt is formed in one place (wire).

Evidence: simulated workers now draw the order in which they list tasks.

--- a/packages/controller/src/heartbeats/command-dispatcher.ts
+++ b/packages/controller/src/heartbeats/command-dispatcher.ts
@@ -5,15 +5,13 @@
  */
 import type { DirectStarts, Machine } from '@spurbridge/model';
 import type { FencingToken, Heartbeat, MachineId, WorkerCommand } from '@spurbridge/wire';
+import { formatAttemptName } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { MachineQueues } from '../placement/machine-queues.js';
 import type { CommandPolicy } from './command-planner.js';
 import { CommandPlanner } from './command-planner.js';
 import { MachineTokens } from './machine-tokens.js';
-import { startCommandKey } from './start-command-key.js';
-
-export { startCommandKey } from './start-command-key.js';
 
 /** Maximum number of consecutive direct calls to one machine. */
 const MAX_CALL_ROUNDS = 5;
@@ -200,5 +198,5 @@
 function startKeysOf(commands: readonly WorkerCommand[]): string[] {
   return commands
     .filter((command) => command.op === 'start')
-    .map((command) => startCommandKey(command.job, command.task, command.attempt));
+    .map((command) => formatAttemptName(command.job, command.task, command.attempt));
 }
--- a/packages/controller/src/heartbeats/command-planner.ts
+++ b/packages/controller/src/heartbeats/command-planner.ts
@@ -6,13 +6,12 @@
 import type { Job, Machine, Placement } from '@spurbridge/model';
 import { addMs } from '@spurbridge/net';
 import type { FencingToken, Heartbeat, JobId, MachineId, TaskStatus, WorkerCommand } from '@spurbridge/wire';
-import { formatTaskName } from '@spurbridge/wire';
+import { formatAttemptName, formatTaskName } from '@spurbridge/wire';
 import type { ClusterState, PlacedTask } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import { isGangStartDelayed } from '../placement/gang-scheduling.js';
 import { maxRenewalStalenessMs } from '../settings.js';
 import { stopsForCancelledTasks } from './cancelled-tasks.js';
-import { startCommandKey } from './start-command-key.js';
 
 /** Which commands are allowed while the records are being reconciled with the machines. */
 export interface CommandPolicy {
@@ -209,13 +208,13 @@
  * The worker records the token before it executes the commands, and rejects every start with a lower one from then on.
  */
 function mayStartAgain(machine: Machine, { job, task, attempt }: TaskStatus, token: FencingToken): boolean {
-  return machine.directStarts.mayArriveUnder(token, startCommandKey(job, task, attempt));
+  return machine.directStarts.mayArriveUnder(token, formatAttemptName(job, task, attempt));
 }
 
 /** Whether the task was started directly, and the machine has neither confirmed the call nor reported the task. */
 function isUnconfirmedStart(machine: Machine, job: Job, { state, task, attempt }: Placement): boolean {
   return (
-    state === 'starting' && machine.directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt))
+    state === 'starting' && machine.directStarts.isUnanswered(formatAttemptName(job.spec.id, task, attempt))
   );
 }
 
--- a/packages/controller/src/heartbeats/task-status-handler.ts
+++ b/packages/controller/src/heartbeats/task-status-handler.ts
@@ -7,11 +7,11 @@
 import type { MonotonicMs } from '@spurbridge/net';
 import { addMs } from '@spurbridge/net';
 import type { ExitCause, Heartbeat, TaskStatus } from '@spurbridge/wire';
-import { formatTaskName } from '@spurbridge/wire';
+import { formatAttemptName, formatTaskName } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { RuntimeEstimator } from '../placement/runtime-estimator.js';
-import { startCommandKey } from './start-command-key.js';
+import { ReportedAttempts } from './reported-attempts.js';
 
 /** A job whose tasks failed on this many machines in a row is considered faulty. */
 const FAULTY_JOB_MACHINES = 3;
@@ -41,14 +41,13 @@
    * and which the heartbeat does not list, was never started.
    */
   receive(machine: Machine, heartbeat: Heartbeat, isComplete: boolean, now: MonotonicMs): void {
-    const statuses = new Map<string, TaskStatus>();
-    for (const status of heartbeat.tasks) statuses.set(formatTaskName(status.job, status.task), status);
+    const reported = new ReportedAttempts(heartbeat.tasks);
     for (const { job, task } of [...this.cluster.tasksOn(machine.id)]) {
       const placement = job.placements.get(task);
       if (placement === undefined || placement.machine !== machine.id) continue;
       if (placement.agentEpoch !== heartbeat.agentEpoch) continue;
-      const status = statuses.get(formatTaskName(job.spec.id, task));
-      if (status?.attempt === placement.attempt) this.applyStatus(machine, job, placement, status, now);
+      const status = reported.find(job.spec.id, task, placement.attempt);
+      if (status !== undefined) this.applyStatus(machine, job, placement, status, now);
       else if (isComplete) this.onUnreported(machine, job, placement);
     }
   }
@@ -164,5 +163,5 @@
   { stopRequest, state, task, attempt }: Placement,
 ): boolean {
   if (stopRequest === null || (state !== 'starting' && state !== 'queued')) return false;
-  return !machine.directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt));
+  return !machine.directStarts.isUnanswered(formatAttemptName(job.spec.id, task, attempt));
 }
--- a/packages/controller/src/machines/overdue-cancellations.ts
+++ b/packages/controller/src/machines/overdue-cancellations.ts
@@ -6,7 +6,7 @@
 import type { Job, Machine, Placement } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import { addMs } from '@spurbridge/net';
-import { startCommandKey } from '../heartbeats/command-dispatcher.js';
+import { formatAttemptName } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { Settings } from '../settings.js';
 import type { FleetController } from './fleet-controller.js';
@@ -66,7 +66,7 @@
       lastHeartbeatAt !== null &&
       now - lastHeartbeatAt < lateHeartbeatMs(this.settings) &&
       state === 'starting' &&
-      directStarts.isUnanswered(startCommandKey(job.spec.id, task, attempt))
+      directStarts.isUnanswered(formatAttemptName(job.spec.id, task, attempt))
     );
   }
 }
--- a/packages/controller/src/reconciliation/correct-records.ts
+++ b/packages/controller/src/reconciliation/correct-records.ts
@@ -6,7 +6,7 @@
 import type { Job } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import type { Heartbeat, TaskStatus } from '@spurbridge/wire';
-import { formatTaskName } from '@spurbridge/wire';
+import { ReportedAttempts } from '../heartbeats/reported-attempts.js';
 import type { ClusterState } from '../jobs/cluster-state.js';
 
 /** How many placements differed from the records. */
@@ -33,7 +33,9 @@
   const all = [...heartbeats];
   // Stale placements are removed on all machines first, because their tasks may be reported by other machines.
   for (const heartbeat of all) removeUnreported(cluster, heartbeat, restoredUntil, counts);
-  for (const heartbeat of all) adoptReported(cluster, heartbeat, counts);
+  // Completed tasks come first: whether an attempt at them still runs elsewhere must not depend on the order of lists.
+  for (const isCompleted of [true, false])
+    for (const heartbeat of all) adoptReported(cluster, heartbeat, isCompleted, counts);
   return counts;
 }
 
@@ -43,28 +45,31 @@
   restoredUntil: MonotonicMs,
   counts: CorrectionCounts,
 ): void {
-  const attempts = new Map(
-    heartbeat.tasks.map((status) => [formatTaskName(status.job, status.task), status.attempt]),
-  );
+  const reported = new ReportedAttempts(heartbeat.tasks);
   for (const { job, task } of [...cluster.tasksOn(heartbeat.machine)]) {
     const placement = job.placements.get(task);
     if (placement === undefined || placement.agentEpoch !== heartbeat.agentEpoch) continue;
     if (placement.placedAt > restoredUntil) continue;
-    if (attempts.get(formatTaskName(job.spec.id, task)) === placement.attempt) continue;
+    if (reported.find(job.spec.id, task, placement.attempt) !== undefined) continue;
     cluster.removePlacement(job, placement, false, 'not reported by its machine');
     counts.gone += 1;
   }
 }
 
-function adoptReported(cluster: ClusterState, heartbeat: Heartbeat, counts: CorrectionCounts): void {
+/** Adopts the reported tasks that are not placed: those that are completed, or those that have not exited. */
+function adoptReported(
+  cluster: ClusterState,
+  heartbeat: Heartbeat,
+  isCompleted: boolean,
+  counts: CorrectionCounts,
+): void {
   const machine = cluster.machines.get(heartbeat.machine);
   if (machine?.agentEpoch !== heartbeat.agentEpoch) return;
   if (machine.state === 'gone' || machine.state === 'releasing') return;
   for (const status of heartbeat.tasks) {
     const job = cluster.jobs.get(status.job);
     if (job === undefined || !isUnfinishedTask(job, status)) continue;
-    const isCompleted = status.phase === 'exited' && status.cause === 'done';
-    if (status.phase === 'exited' && !isCompleted) continue;
+    if (isCompleted ? !isDone(status) : status.phase === 'exited') continue;
     if (!removeEarlierAttempt(cluster, job, status)) continue;
     cluster.adoptTask(job, status, heartbeat.machine, heartbeat.agentEpoch);
     if (isCompleted) {
@@ -75,6 +80,10 @@
   }
 }
 
+function isDone({ phase, cause }: TaskStatus): boolean {
+  return phase === 'exited' && cause === 'done';
+}
+
 function isUnfinishedTask(job: Job, { task }: TaskStatus): boolean {
   return job.state === 'active' && task < job.spec.tasks && !job.isDone(task);
 }
--- a/packages/controller/test/heartbeat-handler.test.ts
+++ b/packages/controller/test/heartbeat-handler.test.ts
@@ -178,3 +178,40 @@
   );
   assert.ok(!queues.startFitting(MACHINE));
 });
+
+// Guards against `ran_twice` by an exited attempt that hides the running one in a heartbeat (review/4): the task counted as
+// never started, and was placed on another machine while it saved its checkpoint.
+test('a task that saves is not taken for never started if an exited attempt of it is listed before or after it', () => {
+  for (const isExitedFirst of [true, false]) {
+    const fixture = createFixture();
+    const { cluster, handler, queues, time } = fixture;
+    handler.receive(makeHeartbeat(1), true);
+    const job = addNewJob(fixture, { checkpointS: 30, saveS: 3 });
+    placeFirstTask(cluster, job);
+    queues.startFitting(MACHINE);
+    const { id } = job.spec;
+    const exited = {
+      job: id,
+      task: 0,
+      attempt: 1 as Attempt,
+      phase: 'exited',
+      cause: 'stopped',
+      saved: true,
+    } as const;
+    handler.receive(makeHeartbeat(2, [exited]), true);
+    placeFirstTask(cluster, job);
+    queues.startFitting(MACHINE);
+    const saving = {
+      job: id,
+      task: 0,
+      attempt: 2 as Attempt,
+      phase: 'saving',
+      cause: null,
+      saved: false,
+    } as const;
+    job.requestStop(0, 7, 'preempted', time.now as MonotonicMs);
+    handler.receive(makeHeartbeat(3, isExitedFirst ? [exited, saving] : [saving, exited]), true);
+    assert.equal(job.placements.get(0)?.attempt, 2, `exited attempt first: ${isExitedFirst}`);
+    assert.equal(job.placements.get(0)?.state, 'saving');
+  }
+});
--- a/packages/scale/src/worker-host.ts
+++ b/packages/scale/src/worker-host.ts
@@ -102,6 +102,7 @@
       gangs: new GangRegistry(() => this.workers.values()),
       random: (below) => (below <= 0 ? 0 : uniformInt(this.generator, 0, below - 1)),
       findJob: (id) => workload.find(id),
+      listTasks: (tasks) => tasks,
       taskFails: () => false,
       taskRunMs: (job, task) => workload.runMs(job, task),
       addressOf: (id) => workerAddress(role.region, id),
--- a/packages/simulated-worker/src/task-runner.ts
+++ b/packages/simulated-worker/src/task-runner.ts
@@ -5,12 +5,11 @@
  */
 import { EPSILON } from '@spurbridge/model';
 import type { Attempt, ExitCause, JobId, JobSpec, MachineType, WorkerCommand } from '@spurbridge/wire';
-import { formatTaskName } from '@spurbridge/wire';
+import { formatAttemptName, formatTaskName } from '@spurbridge/wire';
 import type { AgentState } from './agent-state.js';
 import { GangTaskRunner } from './gang-task-runner.js';
 import type { TaskPlacement, WorkerHost } from './worker-host.js';
 import type { WorkerTask } from './worker-task.js';
-import { attemptKey } from './worker-task.js';
 
 /** Time to start a task whose image is in the machine's cache. */
 const CACHED_IMAGE_MS = 5;
@@ -79,7 +78,7 @@
   execute(commands: readonly WorkerCommand[]): void {
     for (const command of commands) {
       const { job, task: index, attempt } = command;
-      const task = this.attempts.get(attemptKey(job, index, attempt));
+      const task = this.attempts.get(formatAttemptName(job, index, attempt));
       if (command.op === 'start') this.start(job, index, attempt);
       else if (task === undefined) continue;
       else if (command.op === 'stop') this.stop(task, command.graceS);
@@ -113,10 +112,10 @@
   private start(id: JobId, index: number, attempt: Attempt): void {
     const { host, agent, type, onChange } = this.options;
     const job = host.findJob(id);
-    if (this.attempts.has(attemptKey(id, index, attempt)) || job === undefined) return;
+    if (this.attempts.has(formatAttemptName(id, index, attempt)) || job === undefined) return;
     const task: WorkerTask = { job, task: index, attempt, phase: 'fetching', cause: null, saved: false };
     const refusal = this.refusalOf(job, index);
-    this.attempts.set(attemptKey(id, index, attempt), task);
+    this.attempts.set(formatAttemptName(id, index, attempt), task);
     if (job.kind === 'gang') host.gangs.attempt(job, attempt);
     onChange();
     if (refusal !== null) {
@@ -133,7 +132,7 @@
 
   private forget(task: WorkerTask): void {
     const { job, task: index, attempt } = task;
-    this.attempts.delete(attemptKey(job.id, index, attempt));
+    this.attempts.delete(formatAttemptName(job.id, index, attempt));
     if (this.find(job.id, index) === task) this.latest.delete(formatTaskName(job.id, index));
   }
 
--- a/packages/simulated-worker/src/worker-host.ts
+++ b/packages/simulated-worker/src/worker-host.ts
@@ -14,6 +14,7 @@
 } from '@spurbridge/wire';
 import type { GangRegistry } from './gangs.js';
 import type { Timeline } from './timeline.js';
+import type { WorkerTask } from './worker-task.js';
 
 /** A controller's response to a heartbeat, by its status code. */
 export type HeartbeatResult =
@@ -71,6 +72,8 @@
   readonly gangs: GangRegistry;
   /** A random integer from 0 to `below` - 1. */
   readonly random: (below: number) => number;
+  /** The order in which a heartbeat lists these tasks, which are in the order of their starts; the protocol sets none. */
+  readonly listTasks: (tasks: readonly WorkerTask[]) => readonly WorkerTask[];
   /** Whether this run of the task ends with an error. */
   readonly taskFails: (job: JobSpec, task: number) => boolean;
   /** The specification of a job; undefined if there is no such job. */
--- a/packages/simulated-worker/src/worker-task.ts
+++ b/packages/simulated-worker/src/worker-task.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Attempt, ExitCause, JobId, JobSpec, TaskPhase } from '@spurbridge/wire';
+import type { Attempt, ExitCause, JobSpec, TaskPhase } from '@spurbridge/wire';
 
 /** One attempt at a task, as reported by the worker. */
 export interface WorkerTask {
@@ -16,8 +16,3 @@
   /** Whether its progress was saved when it exited. */
   saved: boolean;
 }
-
-/** The key of an attempt at a task on a worker. */
-export function attemptKey(job: JobId, task: number, attempt: Attempt): string {
-  return `${job}/${task}#${attempt}`;
-}
--- a/packages/simulated-worker/src/worker.ts
+++ b/packages/simulated-worker/src/worker.ts
@@ -132,7 +132,7 @@
       fencingToken: agent.fencingToken as FencingToken,
       preemptionNoticeS:
         preemptionAtMs === null ? null : Math.max(0, (preemptionAtMs - host.time.now) / 1000),
-      tasks: this.tasks.all.map(({ job, task, attempt, phase, cause, saved }) => ({
+      tasks: host.listTasks(this.tasks.all).map(({ job, task, attempt, phase, cause, saved }) => ({
         job: job.id,
         task,
         attempt,
--- a/packages/testkit/src/fault-injector.ts
+++ b/packages/testkit/src/fault-injector.ts
@@ -71,6 +71,8 @@
   readonly outboundPartitioned = new Set<MachineId>();
   /** Machines whose heartbeats arrive, but to which responses and direct commands are lost. */
   readonly inboundPartitioned = new Set<MachineId>();
+  /** Machines to which the responses to their heartbeats arrive late, with the delay in milliseconds. */
+  readonly responseDelaysMs = new Map<MachineId, number>();
   /** The number of injected faults of each kind. */
   readonly counts: Record<CountedFault, number> = {
     delayedWrites: 0,
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -35,4 +35,7 @@
 export * from './in-memory-snapshot-directory.js';
 export * from './combined-faults.js';
 export * from './contended-days.js';
+export * from './preemption-days.js';
 export * from './starvation.js';
+
+export { unexitedFirst } from './task-list-order.js';
--- a/packages/testkit/src/worker-transport.ts
+++ b/packages/testkit/src/worker-transport.ts
@@ -96,8 +96,10 @@
         const response = toHeartbeatResponse(outcome);
         recorder.record('heartbeat-response', node, machine, formatHeartbeatResult(response));
         if (!target.clock.alive || faults.inboundPartitioned.has(machine)) return;
-        network.send(node, machine, () => {
-          respond(response);
+        network.afterDelay(faults.responseDelaysMs.get(machine) ?? 0, () => {
+          network.send(node, machine, () => {
+            respond(response);
+          });
         });
       });
     });
--- a/packages/testkit/src/world-options.ts
+++ b/packages/testkit/src/world-options.ts
@@ -9,6 +9,7 @@
 import type { JobSpec, MachineType } from '@spurbridge/wire';
 import type { SimNetwork } from './network.js';
 import type { StoreLimits } from './store-rate-limit.js';
+import type { TaskListOrder } from './task-list-order.js';
 import type { TrafficObserver } from './traffic-digest.js';
 
 /** Limits of the key-value store that are too high for any test to reach. */
@@ -63,6 +64,8 @@
   readonly wallClockStartMs?: number;
   /** Minimum time between two polls for an accepted job, in milliseconds; by default 1,500. */
   readonly userPollMs?: number;
+  /** The order in which all workers list their tasks; by default one is drawn for each worker. */
+  readonly listTasks?: TaskListOrder;
   /** Whether a run of the task ends with an error. */
   readonly taskFails?: (job: JobSpec, task: number) => boolean;
   /** The run time of a task, in milliseconds; by default 0.6 to 1.4 times its estimate. */
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -25,6 +25,7 @@
 import type { SimNode } from './sim-node.js';
 import { NodeDirectory } from './sim-node.js';
 import type { StoreLimits } from './store-rate-limit.js';
+import { TaskListOrders } from './task-list-order.js';
 import { TrafficRecorder } from './traffic-recorder.js';
 import { DEFAULT_POLL_MS, Users } from './users.js';
 import { WorkerTransport } from './worker-transport.js';
@@ -55,6 +56,7 @@
   readonly recorder: TrafficRecorder;
   private readonly directory = new NodeDirectory();
   private readonly generator;
+  private readonly taskListOrders;
   private readonly cloud: SimCloud;
   private readonly peers: PeerNetwork;
   private readonly nodeFactory: NodeFactory;
@@ -65,6 +67,7 @@
     const random = (below: number): number => this.random(below);
     const { time, directory, workers } = this;
     this.generator = xoroshiro128plus(options.seed);
+    this.taskListOrders = new TaskListOrders(options.seed);
     this.recorder = new TrafficRecorder(time, options.traffic);
     this.network = new SimNetwork(time, random);
     this.faults = new FaultInjector(random, options.leaseS * 1000);
@@ -266,6 +269,7 @@
       heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
       leaseMs: leaseS * 1000,
       random: (below) => this.random(below),
+      listTasks: this.options.listTasks ?? this.taskListOrders.draw(),
       findJob: (id) => this.checker.submitted.get(id) ?? this.findGraphJob(id),
       taskFails: taskFails ?? (() => false),
       taskRunMs: taskRunMs ?? defaultTaskRunMs,
--- a/packages/wire/src/task-names.ts
+++ b/packages/wire/src/task-names.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { JobId } from './ids.js';
+import type { Attempt, JobId } from './ids.js';
 import { isJobId } from './ids.js';
 import { ValidationError } from './json-fields.js';
 
@@ -24,6 +24,11 @@
   return `${job}/${task}`;
 }
 
+/** The name of one attempt at a task, such as `wk-000412/3#2`: a machine may report several attempts at a task. */
+export function formatAttemptName(job: JobId, task: number, attempt: Attempt): string {
+  return `${formatTaskName(job, task)}#${attempt}`;
+}
+
 /** Reads a task's name; throws a `ValidationError`. */
 export function parseTaskName(text: string): TaskName {
   let taskName = parsedNames.get(text);
