Let a job's exclusion from a machine end

Cause: a machine on which a task of the job had failed was excluded for the job until a success, three failing machines, or the end of the leader. With fewer machines that fit, neither of the first two can come.

--- a/packages/controller/src/heartbeats/task-status-handler.ts
+++ b/packages/controller/src/heartbeats/task-status-handler.ts
@@ -117,7 +117,7 @@
   private onSuccess(machine: Machine, job: Job, placement: Placement, now: MonotonicMs): void {
     const { spec } = job;
     machine.failedJobs.clear();
-    job.failedMachines.clear();
+    job.machineExclusions.clear();
     job.consecutiveFailures = 0;
     if (placement.runningSince === null || spec.estimateS <= 0 || spec.kind !== 'array') return;
     const runTimeS = (now - placement.runningSince) / 1000;
@@ -132,13 +132,13 @@
   private onFailure(machine: Machine, job: Job, task: number, now: MonotonicMs): void {
     const { id } = job.spec;
     job.consecutiveFailures += 1;
-    job.failedMachines.add(machine.id);
+    job.machineExclusions.recordFailure(machine.id, now);
     machine.backoffUntil = addMs(now, FAILED_MACHINE_BACKOFF_MS);
     this.term.context.log.info(
       { task: formatTaskName(id, task), machine: machine.id, errors: job.consecutiveFailures },
       'task failed',
     );
-    if (job.failedMachines.size >= FAULTY_JOB_MACHINES) {
+    if (job.machineExclusions.failedMachines.size >= FAULTY_JOB_MACHINES) {
       this.backOff(job, now);
       return;
     }
@@ -150,9 +150,9 @@
   private backOff(job: Job, now: MonotonicMs): void {
     const exponent = Math.min(MAX_JOB_BACKOFF_EXPONENT, job.consecutiveFailures - 2);
     job.backoffUntil = addMs(now, Math.min(MAX_JOB_BACKOFF_S, 2 ** exponent) * 1000);
-    for (const machine of job.failedMachines)
+    for (const machine of job.machineExclusions.failedMachines)
       this.cluster.machines.get(machine)?.failedJobs.delete(job.spec.id);
-    job.failedMachines.clear();
+    job.machineExclusions.clear();
   }
 }
 
--- a/packages/controller/src/placement/scheduling-snapshot.ts
+++ b/packages/controller/src/placement/scheduling-snapshot.ts
@@ -177,7 +177,7 @@
       completionMilestonesS: completionMilestonesS(objectives, job),
       startMilestonesS: startMilestonesS(objectives, job),
       toleratedWaitS: toleratedWaitS(objectives, job, ageS),
-      excludedMachines: job.failedMachines,
+      excludedMachines: job.machineExclusions.excludedAt(this.now),
       submissionOrder,
       isStartable: this.now >= job.backoffUntil && !hasUnknownZone,
     };
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -10,6 +10,7 @@
 export * from './errors.js';
 export * from './gang.js';
 export * from './job.js';
+export * from './machine-exclusions.js';
 export * from './machine.js';
 export type { Objective } from './objective.js';
 export type { Placement, PlacementState, StopReason, StopRequest } from './placement.js';
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -9,6 +9,7 @@
 import { KEY_ABSENT } from '@spurbridge/wire';
 import { TaskNotPlaceableError, TaskStillPlacedError, UnknownTaskError } from './errors.js';
 import { Gang } from './gang.js';
+import { MachineExclusions } from './machine-exclusions.js';
 import type { Placement, PlacementState, StopReason } from './placement.js';
 import { placementTransitions } from './placement.js';
 import { TransitionTable } from './transition-table.js';
@@ -50,7 +51,7 @@
   /** The state of the gang; null for other kinds of jobs. */
   readonly gang: Gang | null;
   /** Machines on which tasks of this job failed consecutively, without a success in between. */
-  readonly failedMachines = new Set<MachineId>();
+  readonly machineExclusions = new MachineExclusions();
   consecutiveFailures = 0;
   /** Backoff after failures: no task is placed before this time. */
   backoffUntil = 0 as MonotonicMs;
--- a/packages/model/test/model.test.ts
+++ b/packages/model/test/model.test.ts
@@ -8,6 +8,7 @@
 import {
   Job,
   Machine,
+  MachineExclusions,
   tasksPerChunk,
   decodeJob,
   encodeChunk,
@@ -314,3 +315,28 @@
   for (let job = 12; job < 40; job += 1) testedMachine.recordRunTime(`wk-0000${job}`, 0.9);
   assert.equal(testedMachine.slowness, 1);
 });
+
+// Guards against exclusions without an end (review/7), and against failures in quick succession on a machine that stays faulty.
+test('a machine on which a job fails again is excluded for twice as long, at most for a minute, until a success', () => {
+  const exclusions = new MachineExclusions();
+  const faulty = machine(1);
+  const durationsMs: number[] = [];
+  let now = 0 as MonotonicMs;
+  for (let failure = 0; failure < 5; failure += 1) {
+    exclusions.recordFailure(faulty, now);
+    const failedAt = now;
+    while (exclusions.excludedAt(now).has(faulty)) now = (now + 1000) as MonotonicMs;
+    durationsMs.push(now - failedAt);
+  }
+  assert.deepEqual(durationsMs, [10_000, 20_000, 40_000, 60_000, 60_000]);
+  assert.deepEqual([...exclusions.failedMachines], [faulty], 'a failure counts until a success');
+  exclusions.clear();
+  assert.equal(exclusions.failedMachines.size, 0);
+});
+
+test('tasks that were started together and fail one after the other exclude their machine once', () => {
+  const exclusions = new MachineExclusions();
+  for (let task = 0; task < 8; task += 1) exclusions.recordFailure(machine(1), (task * 1000) as MonotonicMs);
+  assert.equal(exclusions.excludedAt(9999 as MonotonicMs).size, 1);
+  assert.equal(exclusions.excludedAt(10_000 as MonotonicMs).size, 0);
+});
--- a/packages/planner/src/cluster-snapshot.ts
+++ b/packages/planner/src/cluster-snapshot.ts
@@ -70,7 +70,7 @@
   readonly startMilestonesS: readonly number[];
   /** Seconds that the job can still wait without missing an objective. */
   readonly toleratedWaitS: number;
-  /** Machines excluded for this job because its tasks failed there. */
+  /** Machines excluded for this job for now, because its tasks failed there. */
   readonly excludedMachines: ReadonlySet<MachineId>;
   /** The position in the order of submission. */
   readonly submissionOrder: number;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -36,6 +36,7 @@
 export * from './combined-faults.js';
 export * from './contended-days.js';
 export * from './preemption-days.js';
+export * from './faulty-machine-days.js';
 export * from './starvation.js';
 export * from './step-counter.js';
 
