--- a/packages/testkit/test/faulty-machines.test.ts
+++ b/packages/testkit/test/faulty-machines.test.ts
@@ -1,17 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
-  FAULTS_END_MS,
-  STARVATION_DETECTION_MS,
   STARVATION_LIMIT_MS,
   faultyMachineWorld,
   jobId,
   jobSpec,
   startFaultyMachineDay,
-  unfinishedArrays,
-  watchForStarvation,
 } from '../src/index.js';
-import { failOnTwoLeaders } from './support/assertions.js';
+import { runWatchedDay } from './support/assertions.js';
 import { aliveWorkers } from './support/fleets.js';
 import { FAULTS_BEGIN_MS, passTime } from './support/regression-cases.js';
 import { seedsFrom } from './support/seeds.js';
@@ -53,10 +49,5 @@
   test(`jobs that fit one machine only run after machines have failed their tasks, seed ${seed}`, async () => {
     const world = faultyMachineWorld(100_000 + seed);
     const faultNames = startFaultyMachineDay(world).join(' + ');
-    failOnTwoLeaders(world, faultNames);
-    world.checker.faultsEndMs = FAULTS_END_MS;
-    watchForStarvation(world);
-    await world.runUntil(FAULTS_END_MS + STARVATION_DETECTION_MS);
-    assert.deepEqual(world.checker.violations, [], faultNames);
-    assert.deepEqual(unfinishedArrays(world), [], faultNames);
+    await runWatchedDay(world, faultNames);
   });
--- a/packages/testkit/test/machine-restarts.test.ts
+++ b/packages/testkit/test/machine-restarts.test.ts
@@ -5,8 +5,6 @@
 import type { AgentRecall, World } from '../src/index.js';
 import {
   AGENT_RECALLS,
-  FAULTS_END_MS,
-  STARVATION_DETECTION_MS,
   STARVATION_LIMIT_MS,
   injectCombinedFaults,
   jobId,
@@ -15,10 +13,8 @@
   restartQuickly,
   smallWorld,
   startGeneratedJobs,
-  unfinishedArrays,
-  watchForStarvation,
 } from '../src/index.js';
-import { failOnTwoLeaders } from './support/assertions.js';
+import { runWatchedDay } from './support/assertions.js';
 import { aliveWorkers } from './support/fleets.js';
 import { CANCEL_MS, FAULTS_BEGIN_MS, crashLeader, passTime } from './support/regression-cases.js';
 import { seedsFrom } from './support/seeds.js';
@@ -123,15 +119,10 @@
     const world = smallWorld(110_000 + seed);
     startGeneratedJobs(world);
     const faultNames = injectCombinedFaults(world, 2).join(' + ');
-    failOnTwoLeaders(world, faultNames);
     world.faults.repeatedCommands = 0.5;
     world.faults.repeatedWrites = 0.5;
     for (let count = 0; count < 12; count += 1) scheduleRestart(world);
-    world.checker.faultsEndMs = FAULTS_END_MS;
-    watchForStarvation(world);
-    await world.runUntil(FAULTS_END_MS + STARVATION_DETECTION_MS);
-    assert.deepEqual(world.checker.violations, [], faultNames);
-    assert.deepEqual(unfinishedArrays(world), [], faultNames);
+    await runWatchedDay(world, faultNames);
   });
 
 /** A random machine restarts at a random time, in each way that a controller can tell from a copy. */
--- a/packages/testkit/test/preemption-days.test.ts
+++ b/packages/testkit/test/preemption-days.test.ts
@@ -1,14 +1,6 @@
-import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  FAULTS_END_MS,
-  STARVATION_DETECTION_MS,
-  preemptionWorld,
-  startPreemptionDay,
-  unfinishedArrays,
-  watchForStarvation,
-} from '../src/index.js';
-import { failOnTwoLeaders } from './support/assertions.js';
+import { preemptionWorld, startPreemptionDay } from '../src/index.js';
+import { runWatchedDay } from './support/assertions.js';
 import { seedsFrom } from './support/seeds.js';
 
 // Guards against `ran_twice` by an exited attempt that hides the running one in a heartbeat (review/4), and by other causes.
@@ -16,10 +8,5 @@
   test(`arrays that are preempted again and again break no rule beside combined faults, seed ${seed}`, async () => {
     const world = preemptionWorld(90_000 + seed);
     const faultNames = startPreemptionDay(world).join(' + ');
-    failOnTwoLeaders(world, faultNames);
-    world.checker.faultsEndMs = FAULTS_END_MS;
-    watchForStarvation(world);
-    await world.runUntil(FAULTS_END_MS + STARVATION_DETECTION_MS);
-    assert.deepEqual(world.checker.violations, [], faultNames);
-    assert.deepEqual(unfinishedArrays(world), [], faultNames);
+    await runWatchedDay(world, faultNames);
   });
--- a/packages/testkit/test/support/assertions.ts
+++ b/packages/testkit/test/support/assertions.ts
@@ -5,7 +5,15 @@
  */
 import assert from 'node:assert/strict';
 import type { World } from '../../src/index.js';
-import { DAY_LENGTH_MS, startGeneratedJobs, watchForTwoLeaders } from '../../src/index.js';
+import {
+  DAY_LENGTH_MS,
+  FAULTS_END_MS,
+  STARVATION_DETECTION_MS,
+  startGeneratedJobs,
+  unfinishedArrays,
+  watchForStarvation,
+  watchForTwoLeaders,
+} from '../../src/index.js';
 
 /** Rules that must hold even if no copy of the records is left. */
 export const RULES_WITHOUT_RECORDS = [
@@ -38,6 +46,19 @@
   );
 }
 
+/**
+ * Runs a day whose jobs and faults are started, until a job that waits beside free resources after the faults is detected.
+ * Asserts that no rule was broken, and that all arrays ended.
+ */
+export async function runWatchedDay(world: World, faultNames: string): Promise<void> {
+  failOnTwoLeaders(world, faultNames);
+  world.checker.faultsEndMs = FAULTS_END_MS;
+  watchForStarvation(world);
+  await world.runUntil(FAULTS_END_MS + STARVATION_DETECTION_MS);
+  assert.deepEqual(world.checker.violations, [], faultNames);
+  assert.deepEqual(unfinishedArrays(world), [], faultNames);
+}
+
 /** Runs a generated day with its jobs to the end. */
 export async function runGeneratedDay(world: World): Promise<void> {
   startGeneratedJobs(world);
