Show the restart that no controller can close, as known red

A machine that comes back in its old epoch without its token executes a copy of an answered start that is faster than any controller's message.

--- a/packages/testkit/test/machine-restarts.test.ts
+++ b/packages/testkit/test/machine-restarts.test.ts
@@ -85,36 +85,68 @@
   });
 }
 
-/** Memories with which a copy cannot be told from a command of the present leader, until a controller's message arrives. */
-const UNDECIDABLE = ['same epoch, sequence kept, token forgotten', 'everything forgotten'];
+/** The task is moved, and its first machine restarts while a copy of its start is on its way. */
+async function restartAfterMove(seed: number, recall: AgentRecall): Promise<World> {
+  const { world, worker } = await runLongTask(seed);
+  world.startUser(URGENT_SERVICE, world.time.now + 8000);
+  await passTime(world, 5000);
+  restart(world, worker, seed, recall);
+  await passTime(world, 2 * ALL_REPEATED_MS);
+  return world;
+}
+
+/** The task is cancelled, and its machine restarts while a copy of its start is on its way. */
+async function restartAfterCancellation(seed: number, recall: AgentRecall): Promise<World> {
+  const { world, worker } = await runLongTask(seed);
+  world.users.cancelRunningJobs(1);
+  await passTime(world, 5000);
+  restart(world, worker, seed, recall);
+  await passTime(world, CANCEL_MS + ALL_REPEATED_MS);
+  return world;
+}
+
+/** With these memories a copy is like a command of the present leader, until a controller's message arrives. */
+const TOKEN_LOST_IN_EPOCH = ['same epoch, sequence kept, token forgotten', 'everything forgotten'];
+const DECIDABLE = RECALLS.filter(([name]) => !TOKEN_LOST_IN_EPOCH.includes(name));
+const UNDECIDABLE = RECALLS.filter(([name]) => TOKEN_LOST_IN_EPOCH.includes(name));
+/** A copy arrives before the first message of a controller. */
+const COPY_FIRST_SEED = 6;
 
-for (const [name, recall] of RECALLS.filter(([each]) => !UNDECIDABLE.includes(each))) {
+for (const [name, recall] of DECIDABLE) {
   // Guards against `ran_twice` by an answered start that arrives again after its task was moved and its machine restarted.
   test(`a copy of an answered start does not start a task that was moved before its machine restarts, ${name}`, async () => {
-    for (const seed of [1, 2, 3, 4]) {
-      const { world, worker } = await runLongTask(seed);
-      world.startUser(URGENT_SERVICE, world.time.now + 8000);
-      await passTime(world, 5000);
-      restart(world, worker, seed, recall);
-      await passTime(world, 2 * ALL_REPEATED_MS);
+    for (const seed of [1, 2, 3, 4, COPY_FIRST_SEED]) {
+      const world = await restartAfterMove(seed, recall);
       assert.deepEqual(world.checker.violations, [], `seed ${seed}`);
     }
   });
 
   // Guards against `ran_cancelled` by the same copy.
   test(`a copy of an answered start does not start a task that was cancelled before its machine restarts, ${name}`, async () => {
-    for (const seed of [1, 2, 3, 4]) {
-      const { world, worker } = await runLongTask(seed);
-      world.users.cancelRunningJobs(1);
-      await passTime(world, 5000);
-      restart(world, worker, seed, recall);
-      await passTime(world, CANCEL_MS + ALL_REPEATED_MS);
+    for (const seed of [1, 2, 3, 4, COPY_FIRST_SEED]) {
+      const world = await restartAfterCancellation(seed, recall);
       assert.deepEqual(world.checker.violations, [], `seed ${seed}`);
       assert.equal(world.checker.startsOfCancelledJobs, 0, `seed ${seed}`);
     }
   });
 }
 
+// Known red: no controller can close this case (docs/design.md, "Restarts").
+test('a copy of an answered start does not start a task that was moved before its machine forgets its token in the same epoch', async () => {
+  for (const [name, recall] of UNDECIDABLE) {
+    const world = await restartAfterMove(COPY_FIRST_SEED, recall);
+    assert.deepEqual(world.checker.violations, [], name);
+  }
+});
+
+// Known red, for the same reason.
+test('a copy of an answered start does not start a task that was cancelled before its machine forgets its token in the same epoch', async () => {
+  for (const [name, recall] of UNDECIDABLE) {
+    const world = await restartAfterCancellation(COPY_FIRST_SEED, recall);
+    assert.equal(world.checker.startsOfCancelledJobs, 0, name);
+  }
+});
+
 // Guards against all rules on days on which machines restart beside other faults, with copies of commands and transactions.
 for (const seed of [...seedsFrom('SPURBRIDGE_RESTART_SEEDS', 10), LEASE_BEGUN_ANEW_SEED])
   test(`machines that restart within a second break no rule beside combined faults, seed ${seed}`, async () => {
@@ -129,8 +161,7 @@
 
 /** A random machine restarts at a random time, in each way that a controller can tell from a copy. */
 function scheduleRestart(world: World): void {
-  const decidable = RECALLS.filter(([name]) => !UNDECIDABLE.includes(name));
-  const recall = decidable[world.random(decidable.length)]?.[1];
+  const recall = DECIDABLE[world.random(DECIDABLE.length)]?.[1];
   world.time.after(20_000 + world.random(70_000), () => {
     const workers = aliveWorkers(world);
     const worker = workers[world.random(workers.length)];
