Name a queue by its index, apart from the number it is ranked by

Cause: JobEvaluator.rankKey packed cost, number of tasks and the queue's preference rank into one double, and findBestQueue read the queue back from it (key % queueCount). With 100 queues the key exceeds 2^53 from 4.4e10 s on, so the low digits, which name the queue, are rounded: a neighbour in the order of preference is taken, which was never checked against the job's terms nor estimated. From about 1e303 s on the key is Infinity and the plan throws.

Change: the heaps of the searches hold indexes of queues; QueueRanking compares cost, tasks and preference one after the other, so that no cost can turn one queue into another. For costs that the packed number could hold, the order is the same. Run times and fetches are planned with at most 1e9 s, so that sums stay finite and keep a second's fractions apart. NumberHeap is gone; the one binary heap serves both uses. The fixed terms of a job and the limit of a zone stand in one place (placement-terms.ts).

--- a/packages/controller/src/placement/runtime-estimator.ts
+++ b/packages/controller/src/placement/runtime-estimator.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { plannedDurationS } from '@spurbridge/model';
 import type { JobSpec } from '@spurbridge/wire';
 
 /** Weight of a new observation in a class's mean after the first ones. */
@@ -36,11 +37,11 @@
   /** Sizes of the last jobs' tasks, the oldest first. */
   private readonly taskSizes: TaskSize[] = [];
 
-  /** The expected run time of one of the job's tasks on a machine of usual speed, in seconds. */
+  /** The expected run time of one of the job's tasks on a machine of usual speed, in seconds; at most `MAX_PLANNED_S`. */
   expectedRuntimeS(spec: JobSpec): number {
     const bias = this.biasByClass.get(spec.class);
     const ratio = bias === undefined || bias.samples < MIN_SAMPLES ? 1 : Math.exp(bias.logRatio);
-    return Math.max(MIN_RUNTIME_S, spec.estimateS * ratio);
+    return Math.max(MIN_RUNTIME_S, plannedDurationS(spec.estimateS * ratio));
   }
 
   /** Records the run time of a task that has ended, in seconds on a machine of usual speed. */
--- a/packages/model/src/admission.ts
+++ b/packages/model/src/admission.ts
@@ -30,6 +30,13 @@
   return (
     (spec.types === null || spec.types.includes(type.name)) &&
     (spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
+    fitsResources(spec, type)
+  );
+}
+
+/** Whether an empty machine of this type has the resources for one task of the job. */
+export function fitsResources(spec: JobSpec, type: MachineType): boolean {
+  return (
     spec.cpus <= type.cpus + EPSILON &&
     spec.gpus <= type.gpus + EPSILON &&
     spec.memoryGb <= type.memoryGb + EPSILON
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -15,6 +15,8 @@
 export type { Objective } from './objective.js';
 export type { Placement, PlacementState, StopReason, StopRequest } from './placement.js';
 export { isUnsent } from './placement.js';
+export * from './placement-terms.js';
+export * from './planned-time.js';
 export * from './record.js';
 export * from './service-levels.js';
 export { TransitionTable } from './transition-table.js';
--- a/packages/planner/src/cluster-snapshot.ts
+++ b/packages/planner/src/cluster-snapshot.ts
@@ -59,7 +59,10 @@
   readonly totalWaitS: number;
   /** Seconds since the job was submitted. */
   readonly ageS: number;
-  /** The estimated run time of a task in seconds, corrected by the observed run times of the job's class. */
+  /**
+   * The estimated run time of a task in seconds, corrected by the observed run times of the job's class; at most
+   * `MAX_PLANNED_S`.
+   */
   readonly estimateS: number;
   /** Job ages in seconds, ascending, by which the objectives of the job's class require completion. */
   readonly completionMilestonesS: readonly number[];
--- a/packages/planner/src/fleet/scale-out.ts
+++ b/packages/planner/src/fleet/scale-out.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { fitsMachineType } from '@spurbridge/model';
+import { fitsMachineType, maxTasksPerZone } from '@spurbridge/model';
 import type { JobSpec, MachineType } from '@spurbridge/wire';
 import type { UnplacedDemand } from '../scheduling/index.js';
 import { countSequentialTasks, deadlineSlackS, needsOnDemand } from './demand-outlook.js';
@@ -96,7 +96,7 @@
     }
     const tasksByZone = new Map<string, number>();
     for (const placed of placedZones) tasksByZone.set(placed, (tasksByZone.get(placed) ?? 0) + 1);
-    const maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+    const maxPerZone = maxTasksPerZone(spec);
     return { demand, tasksLeft, zone, tasksByZone, maxPerZone };
   }
 
--- a/packages/planner/src/heap.ts
+++ b/packages/planner/src/heap.ts
@@ -1,5 +1,5 @@
 /**
- * Binary heaps.
+ * A binary heap.
  *
  * @module
  */
@@ -39,12 +39,12 @@
     const { elements } = this;
     const top = elements[0];
     const last = elements.pop();
-    if (last !== undefined && elements.length > 0) this.siftDown(last);
+    if (last !== undefined && elements.length > 0) this.replaceTop(last);
     return top;
   }
 
-  /** Replaces the least element and restores the heap order. */
-  private siftDown(element: Element): void {
+  /** Replaces the least element, which may have changed its order or be another one; the heap must not be empty. */
+  replaceTop(element: Element): void {
     const { elements } = this;
     let index = 0;
     for (;;) {
@@ -63,54 +63,3 @@
     elements[index] = element;
   }
 }
-
-/** A binary heap of numbers. It avoids comparator calls, since the planner creates one per evaluated job. */
-export class NumberHeap {
-  private readonly values: number[] = [];
-
-  /** The least number; undefined when the heap is empty. */
-  peek(): number | undefined {
-    return this.values[0];
-  }
-
-  /** Adds a number. */
-  push(value: number): void {
-    const { values } = this;
-    let index = values.push(value) - 1;
-    while (index > 0) {
-      const parentIndex = (index - 1) >> 1;
-      const parent = values[parentIndex] as number;
-      if (value >= parent) break;
-      values[index] = parent;
-      index = parentIndex;
-    }
-    values[index] = value;
-  }
-
-  /** Replaces the least number and restores the heap order. */
-  replaceTop(value: number): void {
-    const { values } = this;
-    const size = values.length;
-    let index = 0;
-    for (;;) {
-      let childIndex = index * 2 + 1;
-      if (childIndex >= size) break;
-      let child = values[childIndex] as number;
-      const right = values[childIndex + 1];
-      if (right !== undefined && right < child) {
-        childIndex += 1;
-        child = right;
-      }
-      if (child >= value) break;
-      values[index] = child;
-      index = childIndex;
-    }
-    values[index] = value;
-  }
-
-  /** Removes the least number; an empty heap stays empty. */
-  pop(): void {
-    const last = this.values.pop();
-    if (last !== undefined && this.values.length > 0) this.replaceTop(last);
-  }
-}
--- a/packages/planner/src/scheduling/completion-bounds.ts
+++ b/packages/planner/src/scheduling/completion-bounds.ts
@@ -6,7 +6,7 @@
 
 import { EPSILON } from '@spurbridge/model';
 import type { JobView } from '../cluster-snapshot.js';
-import { MIN_RUN_S, neededDimensions } from './resources.js';
+import { neededDimensions, plannedRunS } from './resources.js';
 import type { SchedulingPass } from './scheduling-pass.js';
 import type { JobEvaluation } from './types.js';
 
@@ -14,7 +14,7 @@
 export function completionLowerBound(pass: SchedulingPass, job: JobView): number {
   const { spec, estimateS, pendingTasks, pendingCount } = job;
   if (spec.kind === 'service') return 0;
-  const runS = Math.max(estimateS, MIN_RUN_S);
+  const runS = plannedRunS(estimateS);
   let completionS = 0;
   for (const dimension of neededDimensions(spec)) {
     const pool = pass.resourcePool(dimension);
@@ -30,8 +30,10 @@
  */
 export function estimateDrainS(pass: SchedulingPass, jobs: readonly JobView[]): number {
   let work = 0;
-  for (const { spec, pendingCount, estimateS } of jobs)
-    if (spec.kind !== 'service') work += spec.cpus * pendingCount * Math.max(estimateS, MIN_RUN_S);
+  for (const job of jobs) {
+    const { spec, pendingCount, estimateS } = job;
+    if (spec.kind !== 'service') work += spec.cpus * pendingCount * plannedRunS(estimateS);
+  }
   return work === 0 ? 0 : pass.resourcePool('cpus').earliestDoneS(work);
 }
 
--- a/packages/planner/src/scheduling/estimate-unplaced.ts
+++ b/packages/planner/src/scheduling/estimate-unplaced.ts
@@ -12,7 +12,7 @@
 import { evaluate } from './evaluate.js';
 import { removeFromShape } from './job-shapes.js';
 import { ResourcePool } from './resource-pool.js';
-import { MIN_RUN_S, neededDimensions } from './resources.js';
+import { neededDimensions, plannedRunS } from './resources.js';
 import type { Quota } from './resources.js';
 import type { SchedulingPass } from './scheduling-pass.js';
 
@@ -74,7 +74,7 @@
    * Adds tasks of a job, subtracts them from the quota and returns the seconds until the last of them starts.
    */
   add({ spec, estimateS }: JobView, taskCount: number, quota: Quota): number {
-    const runS = Math.max(estimateS, MIN_RUN_S);
+    const runS = plannedRunS(estimateS);
     let startsInS = this.hasQueues ? 0 : Infinity;
     for (const dimension of neededDimensions(spec)) {
       const amount = taskCount * spec[dimension];
--- a/packages/planner/src/scheduling/evaluate.ts
+++ b/packages/planner/src/scheduling/evaluate.ts
@@ -5,19 +5,18 @@
  * @module
  */
 
+import { maxTasksPerZone } from '@spurbridge/model';
 import type { JobView } from '../cluster-snapshot.js';
-import { NumberHeap } from '../heap.js';
+import { BinaryHeap } from '../heap.js';
 import type { EarliestStartIndex } from './earliest-start-index.js';
 import type { MachineQueue } from './machine-queue.js';
-import { estimateTask } from './queue-estimate.js';
-import { MIN_RUN_S } from './resources.js';
+import { costBucketOf, estimateTask } from './queue-estimate.js';
+import { QueueRanking } from './queue-ranking.js';
+import { plannedRunS } from './resources.js';
 import type { QueueEstimates, SchedulingPass } from './scheduling-pass.js';
-import { COST_BUCKET_S } from './scheduling-pass.js';
 import type { JobEvaluation, QueueChange, TaskAssignment } from './types.js';
 import { isMachineAllowed } from './types.js';
 
-/** Greater than the number of tasks of one job that a plan puts on any machine. */
-const MAX_TASKS_PER_QUEUE = 1024;
 /** Marks the absence of a queue. */
 const NO_QUEUE = -1;
 
@@ -47,8 +46,8 @@
 
 /** A search for the best queue in one zone, or in all zones. */
 interface QueueSearch {
-  /** The rank keys of the queues estimated so far, the best on top. */
-  readonly heap: NumberHeap;
+  /** The indexes of the queues estimated so far, the best on top. */
+  readonly heap: BinaryHeap<number>;
   readonly startIndex: EarliestStartIndex;
   /** The next position of the index to visit. */
   nextPosition: number;
@@ -60,10 +59,8 @@
   /** Whether the tasks are balanced over the zones. */
   private readonly isBalanced: boolean;
   private readonly maxPerZone: number;
-  private readonly queueCount: number;
   private readonly estimates: QueueEstimates;
-  private readonly preferenceRanks: Int32Array;
-  private readonly queuesByPreference: readonly number[];
+  private readonly ranking: QueueRanking;
   private readonly zoneIndexes: Int32Array;
   /** The number of the job's tasks in each zone, including those assigned so far. */
   private readonly tasksByZone: Int32Array;
@@ -84,17 +81,15 @@
     const { queueOrder } = pass;
     this.isService = spec.kind === 'service';
     this.isBalanced = spec.spread || this.isService;
-    this.maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
-    this.queueCount = pass.queues.length;
+    this.maxPerZone = maxTasksPerZone(spec);
     this.estimates = pass.estimates;
-    this.preferenceRanks = queueOrder.preferenceRanks;
-    this.queuesByPreference = queueOrder.queuesByPreference;
+    this.ranking = new QueueRanking(pass.estimates, queueOrder.preferenceRanks, this.isBalanced);
     this.zoneIndexes = queueOrder.zoneIndexes;
     this.tasksByZone = countTasksByZone(job, queueOrder.zones);
-    this.minRunS = this.isService ? 0 : Math.max(job.estimateS, MIN_RUN_S) * pass.leastSlowness;
+    this.minRunS = this.isService ? 0 : plannedRunS(job.estimateS) * pass.leastSlowness;
     const zones = zone !== null ? [zone] : this.isBalanced ? queueOrder.zones : [null];
     this.searches = zones.map((searchedZone) => ({
-      heap: new NumberHeap(),
+      heap: new BinaryHeap(this.ranking.compare),
       startIndex: pass.startIndex(spec, searchedZone),
       nextPosition: 0,
     }));
@@ -127,37 +122,33 @@
   }
 
   private findBestQueue(): number {
-    const { searches, tasksByZone, zoneIndexes, maxPerZone, isBalanced } = this;
+    const { searches, tasksByZone, maxPerZone, isBalanced } = this;
     const isSearchPerZone = isBalanced && this.zone === null;
     let bestQueue = NO_QUEUE;
-    let bestKey = Infinity;
     for (let searchIndex = 0; searchIndex < searches.length; searchIndex += 1) {
       if (isSearchPerZone && (tasksByZone[searchIndex] as number) >= maxPerZone) continue;
       const search = searches[searchIndex] as QueueSearch;
       this.advance(search);
-      const key = search.heap.peek();
-      if (key === undefined) continue;
-      const queueIndex = this.queuesByPreference[key % this.queueCount] as number;
-      const tasksInZone = tasksByZone[zoneIndexes[queueIndex] as number] as number;
-      if (tasksInZone >= maxPerZone) continue;
-      if (isBalanced && bestQueue !== NO_QUEUE) {
-        const bestTasksInZone = tasksByZone[zoneIndexes[bestQueue] as number] as number;
-        if (this.compareBalanced(key, tasksInZone, bestKey, bestTasksInZone) >= 0) continue;
-      }
+      const queueIndex = search.heap.peek();
+      if (queueIndex === undefined || this.tasksInZoneOf(queueIndex) >= maxPerZone) continue;
+      if (isBalanced && bestQueue !== NO_QUEUE && !this.isBetterBalanced(queueIndex, bestQueue)) continue;
       bestQueue = queueIndex;
-      bestKey = key;
     }
     return bestQueue;
   }
 
-  /**
-   * Compares by cost, then by tasks in the zone, then by the rest of the rank key; negative if the first is
-   * better.
-   */
-  private compareBalanced(key: number, tasksInZone: number, otherKey: number, otherTasks: number): number {
-    const keysPerCost = MAX_TASKS_PER_QUEUE * this.queueCount;
-    const byCost = Math.floor(key / keysPerCost) - Math.floor(otherKey / keysPerCost);
-    return byCost || tasksInZone - otherTasks || key - otherKey;
+  private tasksInZoneOf(queueIndex: number): number {
+    return this.tasksByZone[this.zoneIndexes[queueIndex] as number] as number;
+  }
+
+  /** Whether the first queue is better by cost, then by the job's tasks in its zone, then by the usual ranking. */
+  private isBetterBalanced(first: number, second: number): boolean {
+    const { costBuckets } = this.estimates;
+    const firstCost = costBuckets[first] as number;
+    const secondCost = costBuckets[second] as number;
+    if (firstCost !== secondCost) return firstCost < secondCost;
+    const byTasksInZone = this.tasksInZoneOf(first) - this.tasksInZoneOf(second);
+    return byTasksInZone === 0 ? this.ranking.compare(first, second) < 0 : byTasksInZone < 0;
   }
 
   /**
@@ -171,8 +162,8 @@
     while (search.nextPosition < startIndex.size) {
       const position = search.nextPosition;
       const queueIndex = startIndex.queueIndexes[position] as number;
-      const bestKey = heap.peek();
-      if (bestKey !== undefined && !isExhaustive && this.lowerBoundKey(startIndex, position) > bestKey)
+      const bestQueue = heap.peek();
+      if (bestQueue !== undefined && !isExhaustive && this.isCertainlyWorse(startIndex, position, bestQueue))
         return;
       const queue = pass.queues[queueIndex] as MachineQueue;
       startIndex.recordVisit(position, queue);
@@ -181,30 +172,17 @@
       if (!isMachineAllowed(job, machine)) continue;
       if (job.excludedMachines.size > 0 && job.excludedMachines.has(machine.id)) continue;
       estimates.taskCounts[queueIndex] = 0;
-      if (estimateTask(pass, job, queueIndex, queue)) heap.push(this.rankKey(queueIndex));
+      if (estimateTask(pass, job, queueIndex, queue)) heap.push(queueIndex);
     }
   }
 
-  /**
-   * Packs cost, number of the job's tasks and preference of a queue into one number, so that queues are
-   * compared cheaply.
-   */
-  private rankKey(queueIndex: number): number {
-    const { costBuckets, taskCounts } = this.estimates;
-    const taskCount = this.isBalanced ? (taskCounts[queueIndex] as number) : 0;
-    return (
-      ((costBuckets[queueIndex] as number) * MAX_TASKS_PER_QUEUE + taskCount) * this.queueCount +
-      (this.preferenceRanks[queueIndex] as number)
-    );
-  }
-
-  /** A lower bound of the rank key of the queue at this position of the index. */
-  private lowerBoundKey(startIndex: EarliestStartIndex, position: number): number {
-    const endS = (startIndex.earliestStartsS[position] as number) + this.minRunS;
-    const queueIndex = startIndex.queueIndexes[position] as number;
-    return (
-      Math.floor(endS / COST_BUCKET_S) * MAX_TASKS_PER_QUEUE * this.queueCount +
-      (this.preferenceRanks[queueIndex] as number)
+  /** Whether a lower bound of the cost shows that the queue at this position of the index is worse than another. */
+  private isCertainlyWorse(startIndex: EarliestStartIndex, position: number, bestQueue: number): boolean {
+    const leastCostS = (startIndex.earliestStartsS[position] as number) + this.minRunS;
+    return this.ranking.isWorseAtLeast(
+      startIndex.queueIndexes[position] as number,
+      costBucketOf(leastCostS),
+      bestQueue,
     );
   }
 
@@ -220,7 +198,7 @@
     const zoneIndex = zoneIndexes[queueIndex] as number;
     tasksByZone[zoneIndex] = (tasksByZone[zoneIndex] as number) + 1;
     const { heap } = this.searches[this.searches.length > 1 ? zoneIndex : 0] as QueueSearch;
-    if (estimateTask(pass, job, queueIndex, after)) heap.replaceTop(this.rankKey(queueIndex));
+    if (estimateTask(pass, job, queueIndex, after)) heap.replaceTop(queueIndex);
     else heap.pop();
   }
 
--- a/packages/planner/src/scheduling/preemption.ts
+++ b/packages/planner/src/scheduling/preemption.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-import { EPSILON } from '@spurbridge/model';
+import { EPSILON, maxTasksPerZone } from '@spurbridge/model';
 import type { JobView, MachineView, Occupant } from '../cluster-snapshot.js';
 import type { PreemptionCandidate } from './preemption-index.js';
+import { plannedRunS } from './resources.js';
 import type { SchedulingPass } from './scheduling-pass.js';
 import { imageFetchS, isMachineAllowed } from './types.js';
 
@@ -103,7 +104,7 @@
   const { machine, victims } = candidate;
   let { cpus, gpus, memoryGb } = candidate;
   const fetchS = imageFetchS(job, machine);
-  const runS = spec.kind === 'service' ? 0 : job.estimateS;
+  const runS = spec.kind === 'service' ? 0 : plannedRunS(job.estimateS);
   const endS = TASK_SWITCH_S + fetchS + runS * machine.slowness;
   let firstVictim = 0;
   let lostWork = 0;
@@ -141,7 +142,7 @@
   skippedTasks: number,
 ): PreemptionOption[] {
   const { spec, placedZones } = job;
-  const maxPerZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+  const maxPerZone = maxTasksPerZone(spec);
   const tasksByZone = new Map<string, number>();
   for (const zone of placedZones) tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + 1);
   const chosen: PreemptionOption[] = [];
--- a/packages/planner/src/scheduling/queue-estimate.ts
+++ b/packages/planner/src/scheduling/queue-estimate.ts
@@ -6,7 +6,7 @@
 
 import type { JobView } from '../cluster-snapshot.js';
 import type { MachineQueue } from './machine-queue.js';
-import { MIN_RUN_S } from './resources.js';
+import { plannedRunS } from './resources.js';
 import type { SchedulingPass } from './scheduling-pass.js';
 import { COST_BUCKET_S } from './scheduling-pass.js';
 import { imageFetchS } from './types.js';
@@ -47,15 +47,19 @@
   if (startS === Infinity) return false;
   const readyS = startS + imageFetchS(job, machine);
   // A service never completes; the time at which it begins to serve counts instead.
-  const endS =
-    spec.kind === 'service' ? readyS : readyS + Math.max(job.estimateS, MIN_RUN_S) * machine.slowness;
+  const endS = spec.kind === 'service' ? readyS : readyS + plannedRunS(job.estimateS) * machine.slowness;
   const { estimates } = pass;
   estimates.startsS[queueIndex] = startS;
   estimates.endsS[queueIndex] = endS;
-  estimates.costBuckets[queueIndex] = Math.floor(costS(pass, job, queue, startS, endS) / COST_BUCKET_S);
+  estimates.costBuckets[queueIndex] = costBucketOf(costS(pass, job, queue, startS, endS));
   return true;
 }
 
+/** A cost in seconds as a multiple of `COST_BUCKET_S`; a cost that is no number is the worst. */
+export function costBucketOf(costInS: number): number {
+  return Number.isNaN(costInS) ? Infinity : Math.floor(costInS / COST_BUCKET_S);
+}
+
 /** The end of the task, plus surcharges for disadvantages of the queue. */
 function costS(
   { snapshot }: SchedulingPass,
--- a/packages/planner/src/scheduling/resources.ts
+++ b/packages/planner/src/scheduling/resources.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { EPSILON } from '@spurbridge/model';
+import { EPSILON, plannedDurationS } from '@spurbridge/model';
 import type { JobSpec } from '@spurbridge/wire';
 
 /** The resources, apart from memory, that bound when a job can be done. */
@@ -26,6 +26,11 @@
 /** Lower bound of a task's estimated run time in seconds. */
 export const MIN_RUN_S = 0.5;
 
+/** The run time of a task that plans calculate with, in seconds: neither too short nor too long for their sums. */
+export function plannedRunS(estimateS: number): number {
+  return Math.max(MIN_RUN_S, plannedDurationS(estimateS));
+}
+
 const CPUS_ONLY: readonly ResourceDimension[] = ['cpus'];
 const CPUS_AND_GPUS: readonly ResourceDimension[] = ['cpus', 'gpus'];
 
--- a/packages/planner/src/scheduling/scheduling-pass.ts
+++ b/packages/planner/src/scheduling/scheduling-pass.ts
@@ -14,7 +14,7 @@
 import { jobsWithinGuarantee } from './quota-guarantee.js';
 import { ResourcePool } from './resource-pool.js';
 import type { Quota, ResourceDimension } from './resources.js';
-import { takeQuota } from './resources.js';
+import { plannedRunS, takeQuota } from './resources.js';
 import type {
   JobEvaluation,
   JobShape,
@@ -182,7 +182,7 @@
     const queueIndex = this.findQueueIndex(id);
     const queue = this.queues[queueIndex]?.copy();
     if (queue === undefined) return;
-    queue.add(spec, 0, spec.kind === 'service' ? Infinity : estimateS);
+    queue.add(spec, 0, spec.kind === 'service' ? Infinity : plannedRunS(estimateS));
     this.queues[queueIndex] = queue;
     this.currentRevision += 1;
   }
--- a/packages/planner/src/scheduling/types.ts
+++ b/packages/planner/src/scheduling/types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { plannedDurationS, violatedFixedTerm } from '@spurbridge/model';
 import type { JobId, MachineId } from '@spurbridge/wire';
 import type { JobView, MachineView } from '../cluster-snapshot.js';
 import type { EarliestStartIndex } from './earliest-start-index.js';
@@ -105,17 +106,13 @@
 
 /** Seconds that the machine needs to fetch the job's image. */
 export function imageFetchS({ spec }: JobView, machine: MachineView): number {
-  return machine.images.has(spec.image) ? 0 : spec.imageGb / machine.type.fetchGbPerS;
+  return machine.images.has(spec.image) ? 0 : plannedDurationS(spec.imageGb / machine.type.fetchGbPerS);
 }
 
 /**
  * Whether the job's tasks are allowed on the machine by its type, its zone and its purchase option (spot or
  * on-demand).
  */
-export function isMachineAllowed({ spec }: JobView, machine: MachineView): boolean {
-  return (
-    (spec.types === null || spec.types.includes(machine.type.name)) &&
-    (spec.zone === null || spec.zone === machine.zone) &&
-    (!machine.spot || spec.spot)
-  );
+export function isMachineAllowed({ spec }: JobView, { type, zone, spot }: MachineView): boolean {
+  return violatedFixedTerm(spec, { type: type.name, zone, spot }) === null;
 }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -38,6 +38,7 @@
 export * from './contended-days.js';
 export * from './preemption-days.js';
 export * from './faulty-machine-days.js';
+export * from './extreme-amount-days.js';
 export * from './starvation.js';
 export * from './step-counter.js';
 
--- /dev/null
+++ b/packages/testkit/test/extreme-amounts.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSubmission } from '@spurbridge/wire';
+import { extremeAmountWorld, jobId, jobSpec, machineType, startExtremeAmountDay } from '../src/index.js';
+import { runWatchedDay } from './support/assertions.js';
+import { fleetWorld } from './support/fleets.js';
+import { passTime } from './support/regression-cases.js';
+import { seedsFrom } from './support/seeds.js';
+
+/** The submission of the incident, byte for byte. */
+const SUBMISSION =
+  '{"accelerators":0.0,"bookmarkS":0.0,"builds":["rudzis"],"cpus":4.0,"crew":"clinic-tools","dueS":null,"guessS":1000000000000.0,"kit":"img-200","loaners":true,"lot":"plan-rebuilds","memGb":6.0,"nameId":"wk-829656","oneZone":false,"pieces":7,"pullGb":0.1,"rank":"normal","scatter":false,"shape":"batch","stowS":0.0,"yard":null}';
+
+for (const seed of [1, 2, 3])
+  test(`a job with an estimate of 1e12 s starts on no machine type that it excludes, seed ${seed}`, async () => {
+    const world = fleetWorld({
+      seed,
+      teams: [{ name: 'clinic-tools', cpus: 136, cpusMax: 336, gpus: 0, gpusMax: 0 }],
+      types: [machineType('sprog', 4), machineType('rudzis', 16)],
+      capacity: 4,
+      taskRunMs: () => 12_000,
+    });
+    for (const [index, type] of ['sprog', 'rudzis'].entries())
+      world.startUser(
+        jobSpec({ id: jobId(index), team: 'clinic-tools', tasks: 24, cpus: 4, types: [type], estimateS: 12 }),
+        null,
+      );
+    await world.runUntil(40_000);
+    const spec = parseSubmission(JSON.parse(SUBMISSION));
+    world.startUser(spec, null);
+    await passTime(world, 90_000);
+    assert.deepEqual(world.checker.violations, []);
+    assert.equal(world.recordedPhaseOf(spec.id), 'done');
+  });
+
+// Guards against amounts that change which machine a plan means (`wrong_place`), or that end a leader's term.
+for (const seed of seedsFrom('SPURBRIDGE_EXTREME_AMOUNT_SEEDS', 10))
+  test(`amounts at the ends of their ranges break no rule and leave no job waiting, seed ${seed}`, async () => {
+    const world = extremeAmountWorld(200_000 + seed);
+    const faultNames = startExtremeAmountDay(world).join(' + ');
+    await runWatchedDay(world, faultNames);
+  });
