Check each placement by the job's own terms before its intent is durable

The plan named wrong machines, and nothing after the plan compared them with the job again: neither where the intent is recorded, nor where a restored intent is sent, nor where a task is found running.

Change: PlanExecutor (split from SchedulingLoop) places only what violatedTerm allows: machine type, zone, purchase option, resources, exclusions, and the zones of the job's other tasks, by the job's record and the machine's record. What it forbids is not written; it is logged as an error with the plan's machine and the job's terms, counted (refusedPlacements), and the job is set aside for 1 s, doubling to 60 s. No task of a gang is placed if one is refused. A start of a restored intent is not sent where a fixed term forbids it (CommandPlanner). A task found on such a machine, after an upgrade for example, is stopped with time to save and placed anew (MisplacedTasks); each placement is checked once. The cost is constant for each placement.

Logs that the incident lacked: the first placement of each job in a term, with the job's terms, the machine's attributes, estimate, image size and token; the token and the revision of the records in `leader ready`; a machine whose reports contradict what is known of it; counts once a minute.

Those in plan-executor.test.ts and misplaced-tasks.test.ts test what is new. The check alone does not replace the fix of the cause.

--- a/packages/controller/src/heartbeats/command-planner.ts
+++ b/packages/controller/src/heartbeats/command-planner.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Job, Machine, Placement } from '@spurbridge/model';
+import { violatedFixedTerm } from '@spurbridge/model';
 import { addMs } from '@spurbridge/net';
 import type { FencingToken, Heartbeat, JobId, MachineId, TaskStatus, WorkerCommand } from '@spurbridge/wire';
 import { formatAttemptName, formatTaskName } from '@spurbridge/wire';
@@ -147,6 +148,8 @@
   private isStartDue(machine: Machine, job: Job, placement: Placement, selection: CommandSelection): boolean {
     if (placement.state !== 'starting' || job.state !== 'active') return false;
     if (!this.policy.mayIssueCommands || !this.policy.mayPlaceJob(job)) return false;
+    // A restored intent may be that of a version whose plans ignored a term.
+    if (violatedFixedTerm(job.spec, machine) !== null) return false;
     if (isGangStartDelayed(this.cluster, this.term.context.settings, job, placement)) return false;
     return selection === 'all' || !isUnconfirmedStart(machine, job, placement);
   }
--- a/packages/controller/src/heartbeats/heartbeat-handler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-handler.ts
@@ -11,18 +11,19 @@
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import { isWholeGangReachable } from '../placement/gang-scheduling.js';
 import type { RuntimeEstimator } from '../placement/runtime-estimator.js';
+import { CHECKPOINT_MARGIN_S, MisplacedTasks } from './misplaced-tasks.js';
 import { ReportedAttempts } from './reported-attempts.js';
 import { TaskStatusHandler } from './task-status-handler.js';
 
-/** Added to the time that a task needs to save a checkpoint, for the delivery of the command, in seconds. */
-export const CHECKPOINT_MARGIN_S = 4;
-
 /** The states of a placement that its machine has reported. */
 const REPORTED_STATES: readonly PlacementState[] = ['fetching', 'waiting', 'running', 'saving'];
 
 /** Updates the cluster state with the heartbeats that the leader receives. */
 export class HeartbeatHandler {
   private readonly taskStatuses: TaskStatusHandler;
+  private readonly misplacedTasks: MisplacedTasks;
+  /** Machines whose heartbeats contradict what is known of them, once this is logged. */
+  private readonly contradictoryMachines = new WeakSet<Machine>();
 
   constructor(
     private readonly term: LeaderTerm,
@@ -30,6 +31,7 @@
     estimator: RuntimeEstimator,
   ) {
     this.taskStatuses = new TaskStatusHandler(term, cluster, estimator);
+    this.misplacedTasks = new MisplacedTasks(term, cluster);
   }
 
   /**
@@ -50,6 +52,7 @@
     );
     const now = clock.now();
     if (machine.state === 'gone' || machine.state === 'releasing') return;
+    this.logContradiction(machine, heartbeat);
     if (isOutdated(heartbeat, machine)) return;
     this.updateMachine(machine, heartbeat, addMs(now, -ageMs));
     if (isRegular) machine.lastRegularSequence = heartbeat.sequence;
@@ -63,6 +66,7 @@
     // direct call may overtake it. Besides, a worker may execute commands of an earlier leader until it reports this
     // leader's token.
     this.taskStatuses.receive(machine, heartbeat, isRegular && hasCurrentToken, now);
+    this.misplacedTasks.stopOn(machine);
   }
 
   /**
@@ -115,6 +119,19 @@
     ) as MonotonicMs;
   }
 
+  /** The attributes that were known first are kept; placements are decided by them. */
+  private logContradiction(machine: Machine, { type, zone, spot }: Heartbeat): void {
+    if (machine.type === type && machine.zone === zone && machine.spot === spot) return;
+    if (this.contradictoryMachines.has(machine)) return;
+    this.contradictoryMachines.add(machine);
+    const known = { type: machine.type, zone: machine.zone, spot: machine.spot };
+    const reported = { type, zone, spot };
+    this.term.context.log.error(
+      { machine: machine.id, known, reported },
+      'a machine reports other attributes than are known of it',
+    );
+  }
+
   private updateMachine(machine: Machine, heartbeat: Heartbeat, receivedAt: MonotonicMs): void {
     const { agentEpoch } = heartbeat;
     if (machine.agentEpoch === null || agentEpoch > machine.agentEpoch) {
--- a/packages/controller/src/jobs/cluster-state.ts
+++ b/packages/controller/src/jobs/cluster-state.ts
@@ -181,6 +181,16 @@
     return this.placements.countOn(id);
   }
 
+  /** The number of the job's tasks in each zone; '' is the zone of machines of which only the id is known. */
+  tasksByZone(job: Job): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { machine } of job.placements.values()) {
+      const zone = this.machines.get(machine)?.zone ?? '';
+      counts.set(zone, (counts.get(zone) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Places a task. Its start is not sent before the placement is durable. */
   placeTask(
     job: Job,
--- a/packages/controller/src/jobs/service-level-tracker.ts
+++ b/packages/controller/src/jobs/service-level-tracker.ts
@@ -104,6 +104,7 @@
       );
       this.term.context.log.info({ who, ...Object.fromEntries(shares) }, 'service levels');
     }
+    this.term.context.log.info({ ...this.term.metrics }, 'scheduling counts');
   }
 
   private count(job: Job, isEnded: boolean, countsOf: CountsByName): void {
--- a/packages/controller/src/leadership/leader-term.ts
+++ b/packages/controller/src/leadership/leader-term.ts
@@ -11,6 +11,7 @@
 import type { FencingToken, JobId, JobProgress, MachineType } from '@spurbridge/wire';
 import type { Logger } from '../logger.js';
 import { WorkerReachability } from '../heartbeats/worker-reachability.js';
+import { SchedulingMetrics } from '../placement/scheduling-metrics.js';
 import type { Settings } from '../settings.js';
 import type { WorkerClient } from '../heartbeats/worker-client.js';
 
@@ -72,6 +73,7 @@
   readonly electedAt: MonotonicMs;
   /** Whether direct calls to workers succeed, which is evidence about this controller's own network. */
   readonly workerReachability: WorkerReachability;
+  readonly metrics = new SchedulingMetrics();
   private hasEnded = false;
 
   constructor(readonly context: LeaderContext) {
--- a/packages/controller/src/leadership/leader.ts
+++ b/packages/controller/src/leadership/leader.ts
@@ -21,6 +21,7 @@
 import { MachineQueues } from '../placement/machine-queues.js';
 import { RuntimeEstimator } from '../placement/runtime-estimator.js';
 import { SchedulingLoop } from '../placement/scheduling-loop.js';
+import { SetAsideJobs } from '../placement/set-aside-jobs.js';
 import { Reconciliation } from '../reconciliation/reconciliation.js';
 import { maxRenewalStalenessMs } from '../settings.js';
 import type { LeaderComponentFactory } from './leader-component.js';
@@ -45,6 +46,7 @@
   private readonly queues: MachineQueues;
   private readonly heartbeats: HeartbeatResponder;
   private readonly recordWriter: RecordWriter;
+  private readonly setAsideJobs: SetAsideJobs;
   private readonly fleet: FleetController;
   private readonly components: LeaderComponents;
   private readonly scheduling: SchedulingLoop;
@@ -74,6 +76,7 @@
     this.queues = new MachineQueues(this.term, this.cluster);
     this.heartbeats = this.createHeartbeatResponder(handler);
     this.recordWriter = this.createRecordWriter();
+    this.setAsideJobs = new SetAsideJobs(this.term, this.cluster);
     this.fleet = new FleetController(
       this.term,
       this.cluster,
@@ -99,7 +102,11 @@
     for (const component of this.components.components) await component.restore();
     this.heartbeats.markReady();
     const { jobs, machines } = this.cluster;
-    this.context.log.info({ jobs: jobs.size, machines: machines.size }, 'leader ready');
+    const token = this.context.leadership.fencingToken;
+    this.context.log.info(
+      { jobs: jobs.size, machines: machines.size, token, readAtRevision: revision },
+      'leader ready',
+    );
     this.context.onReady();
     this.scheduling.requestPass();
     await Promise.all([
@@ -180,7 +187,7 @@
   }
 
   private createSchedulingLoop(): SchedulingLoop {
-    return new SchedulingLoop(this.term, this.cluster, this.runtimes, {
+    return new SchedulingLoop(this.term, this.cluster, this.runtimes, this.setAsideJobs, {
       isSchedulable: (job) => this.reconciliation.mayPlaceJob(job) && this.components.isSchedulable(job),
       mayPlaceTasks: () => this.reconciliation.allowsPlacement,
       unconfirmedUsage: (team) => this.reconciliation.unconfirmedUsage(team),
--- a/packages/controller/src/machines/failure-detector.ts
+++ b/packages/controller/src/machines/failure-detector.ts
@@ -7,7 +7,7 @@
 import type { MonotonicMs } from '@spurbridge/net';
 import { addMs } from '@spurbridge/net';
 import type { Heartbeat } from '@spurbridge/wire';
-import { CHECKPOINT_MARGIN_S } from '../heartbeats/heartbeat-handler.js';
+import { CHECKPOINT_MARGIN_S } from '../heartbeats/misplaced-tasks.js';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { MachineQueues } from '../placement/machine-queues.js';
--- a/packages/controller/src/machines/fleet-view.ts
+++ b/packages/controller/src/machines/fleet-view.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Job } from '@spurbridge/model';
+import { maxTasksPerZone } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import type { FleetMachine, Replica, ZoneSpread } from '@spurbridge/planner';
 import type { ClusterState } from '../jobs/cluster-state.js';
@@ -113,12 +114,7 @@
 
 /** The zones of a job's replicas and the constraints on them; null without constraints. */
 function measureZoneSpread(cluster: ClusterState, job: Job): ZoneSpread | null {
-  const { spread, oneZone, tasks } = job.spec;
+  const { spread, oneZone } = job.spec;
   if (!spread && !oneZone) return null;
-  const replicasByZone = new Map<string, number>();
-  for (const { machine } of job.placements.values()) {
-    const zone = cluster.machines.get(machine)?.zone ?? '';
-    replicasByZone.set(zone, (replicasByZone.get(zone) ?? 0) + 1);
-  }
-  return { replicasByZone, maxPerZone: spread ? Math.ceil(tasks / 2) : Infinity, oneZone };
+  return { replicasByZone: cluster.tasksByZone(job), maxPerZone: maxTasksPerZone(job.spec), oneZone };
 }
--- a/packages/controller/src/placement/scheduling-loop.ts
+++ b/packages/controller/src/placement/scheduling-loop.ts
@@ -1,21 +1,22 @@
 /**
- * The loop that runs scheduling passes and carries out their plans.
+ * The loop that runs scheduling passes.
  *
  * @module
  */
 import type { Job, Team } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
-import type { SchedulingPlan, TaskPreemption, TaskStart, UnplacedDemand } from '@spurbridge/planner';
+import type { SchedulingPlan, UnplacedDemand } from '@spurbridge/planner';
 import { planTasks } from '@spurbridge/planner';
-import type { Attempt, JobId } from '@spurbridge/wire';
-import { formatTaskName } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
+import type { Settings } from '../settings.js';
 import { WakeSignal } from '../wake-signal.js';
+import { PlanExecutor } from './plan-executor.js';
 import { cancelUnsentBeyondQuota } from './quota-enforcement.js';
 import type { ResourceUsage } from './resource-usage.js';
 import type { RuntimeEstimator } from './runtime-estimator.js';
 import { buildSchedulingSnapshot } from './scheduling-snapshot.js';
+import type { SetAsideJobs } from './set-aside-jobs.js';
 
 /** Maximum interval between two passes, even if nothing has changed. */
 const MAX_INTERVAL_MS = 1000;
@@ -30,8 +31,6 @@
  */
 const RECONNECTION_PAUSE_FACTOR = 10;
 const RECONNECTION_PAUSE_PER_MACHINE_MS = 1.5;
-/** Added to the time that a preempted task takes to save a checkpoint, in seconds. */
-const CHECKPOINT_GRACE_MARGIN_S = 1;
 
 /** The queries and notifications by which the scheduling loop uses the leader's other components. */
 export interface SchedulingLoopDependencies {
@@ -47,16 +46,19 @@
   onUnplacedDemand(unplaced: readonly UnplacedDemand[]): void;
 }
 
-/** Runs a scheduling pass after every change and carries out its plan. It is the only component that places tasks. */
+/** Runs a scheduling pass after every change. */
 export class SchedulingLoop {
   private readonly signal = new WakeSignal();
+  private readonly executor: PlanExecutor;
 
   constructor(
     private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
     private readonly estimator: RuntimeEstimator,
+    private readonly setAsideJobs: SetAsideJobs,
     private readonly dependencies: SchedulingLoopDependencies,
   ) {
+    this.executor = new PlanExecutor(term, cluster, setAsideJobs);
     cluster.on('replanNeeded', () => {
       this.requestPass();
     });
@@ -98,16 +100,20 @@
     const { version, teams, objectives } = configuration();
     cancelUnsentBeyondQuota(this.cluster, teams, now);
     const settings = { ...this.term.context.settings, teams, objectives };
-    const isSchedulable = (job: Job): boolean => this.dependencies.isSchedulable(job);
+    const plan = this.plan(settings, now);
+    this.executor.execute(plan, now);
+    this.dependencies.onUnplacedDemand(plan.unplacedDemand);
+    onPlanned(version);
+  }
+
+  private plan(settings: Settings, now: MonotonicMs): SchedulingPlan {
+    const isSchedulable = (job: Job): boolean =>
+      !this.setAsideJobs.has(job.spec.id) && this.dependencies.isSchedulable(job);
     const snapshot = buildSchedulingSnapshot(this.cluster, this.estimator, settings, now, isSchedulable);
-    const plan = planTasks({
+    return planTasks({
       ...snapshot,
       teams: snapshot.teams.map((team) => this.withoutUnconfirmedUsage(team)),
     });
-    this.placeTasks(plan);
-    for (const preemption of plan.preemptions) this.preempt(preemption, now);
-    this.dependencies.onUnplacedDemand(plan.unplacedDemand);
-    onPlanned(version);
   }
 
   private withoutUnconfirmedUsage(team: Team): Team {
@@ -118,38 +124,6 @@
       gpusMax: remainingLimit(team.gpusMax, unconfirmed.gpus),
     };
   }
-
-  private placeTasks({ starts, queuedStarts }: SchedulingPlan): void {
-    const gangAttempts = new Map<JobId, Attempt>();
-    for (const start of [...starts, ...queuedStarts]) this.placeTask(start, gangAttempts);
-  }
-
-  /** Places one task; all tasks that a pass places for a gang share one attempt, kept in `gangAttempts`. */
-  private placeTask(start: TaskStart, gangAttempts: Map<JobId, Attempt>): void {
-    const job = this.cluster.jobs.get(start.job);
-    const agentEpoch = this.cluster.machines.get(start.machine)?.agentEpoch ?? null;
-    if (job === undefined || agentEpoch === null) return;
-    let sharedAttempt: Attempt | null = null;
-    if (job.spec.kind === 'gang') {
-      sharedAttempt = gangAttempts.get(start.job) ?? job.gangAttempt();
-      gangAttempts.set(start.job, sharedAttempt);
-    }
-    const { attempt } = this.cluster.placeTask(job, start.task, start.machine, agentEpoch, sharedAttempt);
-    const name = formatTaskName(start.job, start.task);
-    this.term.context.log.debug({ task: name, try: attempt, machine: start.machine }, 'task placed');
-  }
-
-  private preempt({ job: id, task, preemptor }: TaskPreemption, now: MonotonicMs): void {
-    const job = this.cluster.jobs.get(id);
-    const placement = job?.placements.get(task);
-    if (job === undefined || placement === undefined || placement.stopRequest !== null) return;
-    const graceS = job.spec.checkpointS > 0 ? job.spec.saveS + CHECKPOINT_GRACE_MARGIN_S : 0;
-    job.requestStop(task, graceS, 'preempted', now);
-    const { machine } = placement;
-    const name = formatTaskName(id, task);
-    this.term.context.log.info({ task: name, machine, inFavourOf: preemptor }, 'task preempted');
-    this.cluster.emit('commandsDue', machine);
-  }
 }
 
 /** The limit minus the usage, at least 0; an infinite limit stays infinite. */
--- a/packages/model/src/placement.ts
+++ b/packages/model/src/placement.ts
@@ -35,7 +35,7 @@
 });
 
 /** Why a placement is being stopped. */
-export type StopReason = 'cancelled' | 'preempted' | 'drained' | 'gang';
+export type StopReason = 'cancelled' | 'preempted' | 'drained' | 'gang' | 'misplaced';
 
 /** The decision to stop a placement. */
 export interface StopRequest {
--- a/packages/testkit/test/extreme-amounts.test.ts
+++ b/packages/testkit/test/extreme-amounts.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { parseSubmission } from '@spurbridge/wire';
+import { jobKey } from '@spurbridge/model';
+import { formatSubmission, parseSubmission } from '@spurbridge/wire';
 import { extremeAmountWorld, jobId, jobSpec, machineType, startExtremeAmountDay } from '../src/index.js';
 import { runWatchedDay } from './support/assertions.js';
 import { fleetWorld } from './support/fleets.js';
@@ -33,6 +34,36 @@
     assert.equal(world.recordedPhaseOf(spec.id), 'done');
   });
 
+// A version whose plans ignored a term may have placed tasks that still run when the next version starts.
+for (const kind of ['array', 'service', 'gang'] as const)
+  test(`tasks of a job of kind ${kind} are moved from machines that its record excludes, once they are found there`, async () => {
+    const world = extremeAmountWorld(11, { taskRunMs: () => 400_000 });
+    world.startUser(jobSpec({ id: jobId(1), class: 'filling', tasks: 6, cpus: 16, types: ['m16'] }), null);
+    const spec = jobSpec({
+      id: jobId(2),
+      kind,
+      tasks: 2,
+      cpus: 3,
+      types: ['s4'],
+      estimateS: kind === 'service' ? 0 : 40,
+    });
+    world.startUser(spec, null);
+    await world.runUntil(35_000);
+    assert.equal(world.checker.runningTasksOf(spec.id), 2);
+    const restricted = { ...spec, types: ['m16'] };
+    const key = jobKey(spec.id);
+    const record = world.store.peek(key) as object;
+    world.checker.jobSubmitted(restricted);
+    world.store.commit([], [{ put: key, value: { ...record, spec: formatSubmission(restricted) } }]);
+    for (let node = 0; node < world.nodes.length; node += 1) world.crash(node, 200);
+    await passTime(world, 150_000);
+    assert.deepEqual(world.checker.violations, []);
+    const types = world.checker
+      .runningTasks(spec.id)
+      .map(({ machine }) => world.workers.get(machine)?.type.name);
+    assert.deepEqual(types, ['m16', 'm16']);
+  });
+
 // Guards against amounts that change which machine a plan means (`wrong_place`), or that end a leader's term.
 for (const seed of seedsFrom('SPURBRIDGE_EXTREME_AMOUNT_SEEDS', 10))
   test(`amounts at the ends of their ranges break no rule and leave no job waiting, seed ${seed}`, async () => {
