Set a job aside on which a plan fails, and plan all others

The same class as the incident: an amount from outside made the number infinite from which a queue was read back.

An error that no job explains still ends the term.

--- a/packages/controller/src/leadership/leader.ts
+++ b/packages/controller/src/leadership/leader.ts
@@ -81,6 +81,7 @@
       this.term,
       this.cluster,
       this.arrivals,
+      this.setAsideJobs,
       () => this.reconciliation.allowsPlacement,
     );
     this.components = new LeaderComponents(
--- a/packages/controller/src/machines/fleet-controller.ts
+++ b/packages/controller/src/machines/fleet-controller.ts
@@ -7,10 +7,11 @@
 import type { MonotonicMs } from '@spurbridge/net';
 import { addMs } from '@spurbridge/net';
 import type { FleetPlan, FleetPolicy, UnplacedDemand } from '@spurbridge/planner';
-import { planFleet } from '@spurbridge/planner';
+import { JobPlanningError, planFleet } from '@spurbridge/planner';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { ArrivalRate } from '../placement/arrival-rate.js';
+import type { SetAsideJobs } from '../placement/set-aside-jobs.js';
 import { failoverDiscoveryTimeoutMs, sustainableMachineCount } from '../settings.js';
 import { WakeSignal } from '../wake-signal.js';
 import { DemandHistory } from './demand-history.js';
@@ -59,6 +60,7 @@
     private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
     private readonly arrivals: ArrivalRate,
+    private readonly setAsideJobs: SetAsideJobs,
     /** Whether the tasks on the machines are known well enough to release idle machines. */
     private readonly mayScale: () => boolean,
   ) {
@@ -113,7 +115,8 @@
       await this.signal.wait(clock, MAX_PLAN_INTERVAL_MS);
       if (!this.term.isActive) return;
       if (!this.canPlan()) continue;
-      const plan = this.planAt(clock.now());
+      const plan = this.planWithoutFailingJobs(clock.now());
+      if (plan === null) continue;
       this.scaleIn(plan);
       this.consolidate(plan);
       await Promise.all(plan.scaleOut.map((request) => this.provisioner.scaleOut(request)));
@@ -131,6 +134,18 @@
     );
   }
 
+  /** The plan; null if it failed on a job, whose demand the next one leaves out. */
+  private planWithoutFailingJobs(now: MonotonicMs): FleetPlan | null {
+    try {
+      return this.planAt(now);
+    } catch (error) {
+      if (!(error instanceof JobPlanningError)) throw error;
+      this.setAsideJobs.add(error.job, error.message);
+      this.signal.notify();
+      return null;
+    }
+  }
+
   private planAt(now: MonotonicMs): FleetPlan {
     const { settings, machineTypes } = this.term.context;
     const isConsolidating = this.cluster.minimizesCost && now >= this.nextConsolidationAt;
@@ -139,7 +154,7 @@
     return planFleet({
       types: machineTypes(),
       machines: buildFleetView(this.cluster, now, isConsolidating, discoveredBy),
-      unplacedDemand: this.unplacedDemand,
+      unplacedDemand: this.unplacedDemand.filter(({ job }) => !this.setAsideJobs.has(job.spec.id)),
       policy: this.policy(isConsolidating),
       hasCapacity: (type, zone, spot) => this.provisioner.mayHaveCapacity(type, zone, spot, now),
     });
--- a/packages/controller/src/placement/scheduling-loop.ts
+++ b/packages/controller/src/placement/scheduling-loop.ts
@@ -6,7 +6,7 @@
 import type { Job, Team } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import type { SchedulingPlan, UnplacedDemand } from '@spurbridge/planner';
-import { planTasks } from '@spurbridge/planner';
+import { JobPlanningError, planTasks } from '@spurbridge/planner';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { Settings } from '../settings.js';
@@ -31,6 +31,8 @@
  */
 const RECONNECTION_PAUSE_FACTOR = 10;
 const RECONNECTION_PAUSE_PER_MACHINE_MS = 1.5;
+/** How many jobs on which the plan fails may be set aside within one pass; the next pass continues. */
+const MAX_SET_ASIDE_PER_PASS = 16;
 
 /** The queries and notifications by which the scheduling loop uses the leader's other components. */
 export interface SchedulingLoopDependencies {
@@ -100,12 +102,26 @@
     const { version, teams, objectives } = configuration();
     cancelUnsentBeyondQuota(this.cluster, teams, now);
     const settings = { ...this.term.context.settings, teams, objectives };
-    const plan = this.plan(settings, now);
+    const plan = this.planWithoutFailingJobs(settings, now);
+    if (plan === null) return;
     this.executor.execute(plan, now);
     this.dependencies.onUnplacedDemand(plan.unplacedDemand);
     onPlanned(version);
   }
 
+  /** The plan of all jobs on which it does not fail; null if it still fails after some of them were set aside. */
+  private planWithoutFailingJobs(settings: Settings, now: MonotonicMs): SchedulingPlan | null {
+    for (let attempt = 0; attempt < MAX_SET_ASIDE_PER_PASS; attempt += 1)
+      try {
+        return this.plan(settings, now);
+      } catch (error) {
+        if (!(error instanceof JobPlanningError)) throw error;
+        this.setAsideJobs.add(error.job, error.message);
+      }
+    this.requestPass();
+    return null;
+  }
+
   private plan(settings: Settings, now: MonotonicMs): SchedulingPlan {
     const isSchedulable = (job: Job): boolean =>
       !this.setAsideJobs.has(job.spec.id) && this.dependencies.isSchedulable(job);
--- a/packages/controller/src/placement/scheduling-snapshot.ts
+++ b/packages/controller/src/placement/scheduling-snapshot.ts
@@ -6,6 +6,7 @@
 import type { Job, Machine, Placement } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import type { ClusterSnapshot, JobView, MachineView, Occupant } from '@spurbridge/planner';
+import { JobPlanningError } from '@spurbridge/planner';
 import type { JobSpec, MachineType } from '@spurbridge/wire';
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { Settings } from '../settings.js';
@@ -36,6 +37,8 @@
 /**
  * Builds the snapshot: everything that may run on a machine, including silent ones, and the active jobs that may be
  * scheduled.
+ *
+ * @throws {JobPlanningError} when a job cannot be described.
  */
 export function buildSchedulingSnapshot(
   cluster: ClusterState,
@@ -153,7 +156,15 @@
     return [...this.cluster.jobs.values()]
       .filter((job) => job.state === 'active' && isSchedulable(job))
       .sort((left, right) => left.submittedAt - right.submittedAt)
-      .map((job, index) => this.jobView(job, index));
+      .map((job, index) => this.tryJobView(job, index));
+  }
+
+  private tryJobView(job: Job, submissionOrder: number): JobView {
+    try {
+      return this.jobView(job, submissionOrder);
+    } catch (error) {
+      throw new JobPlanningError(job.spec.id, error);
+    }
   }
 
   private jobView(job: Job, submissionOrder: number): JobView {
--- a/packages/planner/src/fleet/plan-fleet.ts
+++ b/packages/planner/src/fleet/plan-fleet.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { JobFocus } from '../job-focus.js';
 import { scaleOutForBurst } from './burst-rate.js';
 import { findConsolidation, spotReplacement } from './consolidation.js';
 import { ManagementCost } from './management-cost.js';
@@ -13,7 +14,11 @@
 import { SpareCapacity } from './spare-capacity.js';
 import type { FleetInput, FleetPlan } from './types.js';
 
-/** Decides how to change the fleet; has no side effects. */
+/**
+ * Decides how to change the fleet; has no side effects.
+ *
+ * @throws {JobPlanningError} when the plan fails on the demand of a job.
+ */
 export function planFleet(input: FleetInput): FleetPlan {
   const requests = scaleOutForDemand(input);
   // Preemptible work may use the spare capacity until services need it. The capacity must exist in advance,
@@ -36,7 +41,13 @@
   const requests = new ScaleOutRequests();
   const managementCost = new ManagementCost(input.types, input.policy.manageableMachines);
   const demandScaleOut = new DemandScaleOut(input, requests, managementCost);
-  for (const demand of input.unplacedDemand) if (demand.isWithinLimit) demandScaleOut.scaleOutFor(demand);
+  const focus = new JobFocus();
+  focus.run(() => {
+    for (const demand of input.unplacedDemand) {
+      focus.set(demand.job);
+      if (demand.isWithinLimit) demandScaleOut.scaleOutFor(demand);
+    }
+  });
   const machineCount = input.machines.length + requests.machineCount;
   scaleOutForBurst(input, requests, managementCost.perMachine(machineCount));
   return requests;
--- a/packages/planner/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -6,6 +6,7 @@
  */
 
 export * from './cluster-snapshot.js';
+export * from './errors.js';
 export * from './fleet/index.js';
 export { BinaryHeap } from './heap.js';
 export * from './scheduling/index.js';
--- a/packages/planner/src/scheduling/assign-job.ts
+++ b/packages/planner/src/scheduling/assign-job.ts
@@ -23,6 +23,7 @@
 
 /** Applies an evaluation to the queues, and starts the tasks that can start now. */
 export function assignJob(pass: SchedulingPass, evaluation: JobEvaluation): void {
+  pass.focus.set(evaluation.job);
   if (evaluation.job.spec.kind === 'gang') {
     assignGang(pass, evaluation);
     return;
--- a/packages/planner/src/scheduling/completion-bounds.ts
+++ b/packages/planner/src/scheduling/completion-bounds.ts
@@ -12,6 +12,7 @@
 
 /** The earliest completion of the job in seconds from now, bounded by the pool of all machines. */
 export function completionLowerBound(pass: SchedulingPass, job: JobView): number {
+  pass.focus.set(job);
   const { spec, estimateS, pendingTasks, pendingCount } = job;
   if (spec.kind === 'service') return 0;
   const runS = plannedRunS(estimateS);
@@ -31,6 +32,7 @@
 export function estimateDrainS(pass: SchedulingPass, jobs: readonly JobView[]): number {
   let work = 0;
   for (const job of jobs) {
+    pass.focus.set(job);
     const { spec, pendingCount, estimateS } = job;
     if (spec.kind !== 'service') work += spec.cpus * pendingCount * plannedRunS(estimateS);
   }
--- a/packages/planner/src/scheduling/cotask-scheduler.ts
+++ b/packages/planner/src/scheduling/cotask-scheduler.ts
@@ -7,6 +7,7 @@
 
 import type { ClusterSnapshot, JobView } from '../cluster-snapshot.js';
 import { BinaryHeap } from '../heap.js';
+import { JobFocus } from '../job-focus.js';
 import { assignJob } from './assign-job.js';
 import { completionLowerBound, estimateDrainS, isStillValid } from './completion-bounds.js';
 import { estimateUnplaced } from './estimate-unplaced.js';
@@ -32,10 +33,21 @@
 /** Applies an evaluation once its job has been selected. */
 type Place = (evaluation: JobEvaluation) => void;
 
-/** Computes the plan of one scheduling pass; it has no side effects. */
+/**
+ * Computes the plan of one scheduling pass; it has no side effects.
+ *
+ * @throws {JobPlanningError} when the plan fails on a job.
+ */
 export function planTasks(snapshot: ClusterSnapshot, options: PlanOptions = {}): SchedulingPlan {
-  const pass = new SchedulingPass(splitOverdueFirstTasks(snapshot), options);
-  const waiting = pass.snapshot.jobs.filter((job) => job.isStartable && job.pendingTasks.length > 0);
+  const focus = new JobFocus();
+  return focus.run(() =>
+    runPass(new SchedulingPass(splitOverdueFirstTasks(snapshot, focus), options, focus)),
+  );
+}
+
+function runPass(pass: SchedulingPass): SchedulingPlan {
+  const { snapshot } = pass;
+  const waiting = snapshot.jobs.filter((job) => job.isStartable && job.pendingTasks.length > 0);
   for (const job of waiting) addToShape(pass, job);
   pass.starvationThresholdS = Math.max(
     snapshot.starvationThresholdS,
--- a/packages/planner/src/scheduling/estimate-unplaced.ts
+++ b/packages/planner/src/scheduling/estimate-unplaced.ts
@@ -20,6 +20,7 @@
 export function estimateUnplaced(pass: SchedulingPass, jobs: readonly JobView[]): void {
   const estimate = new PooledEstimate(pass);
   for (const job of jobs) {
+    pass.focus.set(job);
     removeFromShape(pass, job);
     // These jobs can use only some of the machines that become free, so an estimate from the pools would be too
     // early.
--- a/packages/planner/src/scheduling/evaluate.ts
+++ b/packages/planner/src/scheduling/evaluate.ts
@@ -22,6 +22,7 @@
 
 /** Evaluates a job; modifies only the pass's estimates. */
 export function evaluate(pass: SchedulingPass, job: JobView): JobEvaluation {
+  pass.focus.set(job);
   if (!job.spec.oneZone) return new JobEvaluator(pass, job, null).evaluate();
   let best: JobEvaluation | null = null;
   for (const zone of possibleZones(pass, job)) {
--- a/packages/planner/src/scheduling/job-order.ts
+++ b/packages/planner/src/scheduling/job-order.ts
@@ -7,6 +7,7 @@
 import { LARGEST_JOB_START_S } from '@spurbridge/model';
 import type { ClusterSnapshot, JobView } from '../cluster-snapshot.js';
 import { PRIORITY_RANK } from '../cluster-snapshot.js';
+import type { JobFocus } from '../job-focus.js';
 
 /** A job older than its last milestone by this factor is no longer placed behind the others. */
 const LONG_OVERDUE_FACTOR = 5;
@@ -47,8 +48,12 @@
  * never starts the largest jobs, and the mean wait exceeds the starvation threshold for all jobs at the same time. One
  * running task is enough for a job to count as started.
  */
-export function splitOverdueFirstTasks(snapshot: ClusterSnapshot): ClusterSnapshot {
-  if (!snapshot.jobs.some(hasOverdueStart)) return snapshot;
+export function splitOverdueFirstTasks(snapshot: ClusterSnapshot, focus: JobFocus): ClusterSnapshot {
+  const isSplit = snapshot.jobs.some((job) => {
+    focus.set(job);
+    return hasOverdueStart(job);
+  });
+  if (!isSplit) return snapshot;
   return { ...snapshot, jobs: snapshot.jobs.flatMap(splitFirstTask) };
 }
 
--- a/packages/planner/src/scheduling/job-shapes.ts
+++ b/packages/planner/src/scheduling/job-shapes.ts
@@ -14,6 +14,7 @@
 
 /** Adds a waiting job to the jobs of its shape. */
 export function addToShape(pass: SchedulingPass, job: JobView): void {
+  pass.focus.set(job);
   const isGuaranteed = pass.guaranteedJobs.has(job);
   const key = shapeKey(job, isGuaranteed);
   let shape = pass.jobShapes.get(key);
--- a/packages/planner/src/scheduling/quota-guarantee.ts
+++ b/packages/planner/src/scheduling/quota-guarantee.ts
@@ -6,6 +6,7 @@
 
 import { EPSILON } from '@spurbridge/model';
 import type { ClusterSnapshot, JobView } from '../cluster-snapshot.js';
+import type { JobFocus } from '../job-focus.js';
 import { isLongOverdue } from './job-order.js';
 import type { Quota } from './resources.js';
 
@@ -14,16 +15,20 @@
  * Jobs that can still be in time use the guarantee first. When the oldest jobs used it first, in a burst it went
  * to jobs that were already late, before every job that could still be in time.
  */
-export function jobsWithinGuarantee({ jobs, teams }: ClusterSnapshot): Set<JobView> {
+export function jobsWithinGuarantee({ jobs, teams }: ClusterSnapshot, focus: JobFocus): Set<JobView> {
   const usedByTeam = new Map<string, Quota>();
   const guaranteed = new Set<JobView>();
-  const ranked = jobs.map((job) => ({ job, missedMilestones: countMissedMilestones(job) }));
+  const ranked = jobs.map((job) => {
+    focus.set(job);
+    return { job, missedMilestones: countMissedMilestones(job) };
+  });
   ranked.sort(
     (first, second) =>
       first.missedMilestones - second.missedMilestones ||
       first.job.submissionOrder - second.job.submissionOrder,
   );
   for (const { job } of ranked) {
+    focus.set(job);
     const { spec, unfinishedCount } = job;
     const team = teams.find(({ name }) => name === spec.team);
     if (team === undefined) continue;
--- a/packages/planner/src/scheduling/scheduling-pass.ts
+++ b/packages/planner/src/scheduling/scheduling-pass.ts
@@ -7,6 +7,7 @@
 
 import type { JobId, JobSpec, MachineId } from '@spurbridge/wire';
 import type { ClusterSnapshot, JobView, MachineView, Occupant } from '../cluster-snapshot.js';
+import type { JobFocus } from '../job-focus.js';
 import { EarliestStartIndex, sizeClassOf } from './earliest-start-index.js';
 import { MachineQueue } from './machine-queue.js';
 import { PreemptionIndex } from './preemption-index.js';
@@ -82,6 +83,8 @@
   constructor(
     readonly snapshot: ClusterSnapshot,
     readonly options: PlanOptions,
+    /** The job that the pass is working on. */
+    readonly focus: JobFocus,
   ) {
     this.starvationThresholdS = snapshot.starvationThresholdS;
     this.queues = snapshot.machines
@@ -90,7 +93,7 @@
     this.queueOrder = new QueueOrder(this.queues);
     this.estimates = new QueueEstimates(this.queues.length);
     this.leastSlowness = this.queues.reduce((least, { machine }) => Math.min(least, machine.slowness), 1);
-    this.guaranteedJobs = jobsWithinGuarantee(snapshot);
+    this.guaranteedJobs = jobsWithinGuarantee(snapshot, focus);
     const beyondGuarantee = snapshot.jobs.filter((job) => !this.guaranteedJobs.has(job));
     this.preemptionIndex = new PreemptionIndex(
       snapshot.machines,
--- a/packages/planner/test/fleet.test.ts
+++ b/packages/planner/test/fleet.test.ts
@@ -3,7 +3,7 @@
 import type { JobId, MachineId, MachineType } from '@spurbridge/wire';
 import { TYPES, jobSpec } from '@spurbridge/testkit';
 import type { FleetInput, FleetMachine, Replica, UnplacedDemand } from '../src/index.js';
-import { planFleet } from '../src/index.js';
+import { JobPlanningError, planFleet } from '../src/index.js';
 
 const [s4, m16] = TYPES as readonly [MachineType, MachineType];
 const replica: Replica = {
@@ -328,3 +328,15 @@
   assert.equal(elsewhere.size, 1);
   assert.ok(!elsewhere.has('a'));
 });
+
+// Guards against terms that end one after another because the plan of the fleet fails on the same job.
+test('a fleet plan that fails on the demand of a job names that job', () => {
+  const failing = demandOf({ id: 'wk-000002' as JobId });
+  Object.defineProperty(failing.job.spec, 'oneZone', {
+    get: () => {
+      throw new RangeError('unreadable');
+    },
+  });
+  const isNamed = (error: unknown): boolean => error instanceof JobPlanningError && error.job === 'wk-000002';
+  assert.throws(() => planFleet(input({ unplacedDemand: [demandOf({}), failing] })), isNamed);
+});
--- a/packages/testkit/test/extreme-amounts.test.ts
+++ b/packages/testkit/test/extreme-amounts.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { jobKey } from '@spurbridge/model';
 import { formatSubmission, parseSubmission } from '@spurbridge/wire';
+import type { World } from '../src/index.js';
 import { extremeAmountWorld, jobId, jobSpec, machineType, startExtremeAmountDay } from '../src/index.js';
 import { runWatchedDay } from './support/assertions.js';
 import { fleetWorld } from './support/fleets.js';
@@ -12,6 +13,10 @@
 const SUBMISSION =
   '{"accelerators":0.0,"bookmarkS":0.0,"builds":["rudzis"],"cpus":4.0,"crew":"clinic-tools","dueS":null,"guessS":1000000000000.0,"kit":"img-200","loaners":true,"lot":"plan-rebuilds","memGb":6.0,"nameId":"wk-829656","oneZone":false,"pieces":7,"pullGb":0.1,"rank":"normal","scatter":false,"shape":"batch","stowS":0.0,"yard":null}';
 
+function currentToken(world: World): number {
+  return Math.max(...world.nodes.map((node) => node.controller.leadership.fencingToken));
+}
+
 for (const seed of [1, 2, 3])
   test(`a job with an estimate of 1e12 s starts on no machine type that it excludes, seed ${seed}`, async () => {
     const world = fleetWorld({
@@ -34,6 +39,23 @@
     assert.equal(world.recordedPhaseOf(spec.id), 'done');
   });
 
+// Guards against terms that end one after another (review/2): every leader's plan failed on such a job.
+for (const amounts of [{ imageGb: Number.MAX_VALUE }, { estimateS: Number.MAX_VALUE }] as const)
+  test(`ordinary jobs are served beside one with the largest ${Object.keys(amounts).join()}`, async () => {
+    const world = extremeAmountWorld(7);
+    world.startUser(jobSpec({ id: jobId(1), tasks: 8 }), null);
+    await world.runUntil(30_000);
+    world.startUser(jobSpec({ id: jobId(2), image: 'other', ...amounts }), null);
+    await passTime(world, 2000);
+    const token = currentToken(world);
+    const ordinary = jobSpec({ id: jobId(3), tasks: 8 });
+    world.startUser(ordinary, null);
+    await passTime(world, 60_000);
+    assert.deepEqual(world.checker.violations, []);
+    assert.equal(world.recordedPhaseOf(ordinary.id), 'done');
+    assert.equal(currentToken(world), token, 'the leader stays');
+  });
+
 // A version whose plans ignored a term may have placed tasks that still run when the next version starts.
 for (const kind of ['array', 'service', 'gang'] as const)
   test(`tasks of a job of kind ${kind} are moved from machines that its record excludes, once they are found there`, async () => {
