Keep the record of an ended job that cannot be packed without loss

Beyond some 4.5e10 the lowest digits, phase and number of tasks, are rounded: a job done would be reported as cancelled, or with another number of tasks. At 250 changes a second that takes six years; nobody has seen it.

Such a job now keeps its whole record, which takes more memory and is right. The new test in replica.test.ts fails before at versions from 2^36 on.

--- a/packages/recovery/src/replica/compacted-jobs.ts
+++ b/packages/recovery/src/replica/compacted-jobs.ts
@@ -8,8 +8,10 @@
 import { MAX_TASKS_PER_JOB } from '@spurbridge/wire';
 import type { ReplicaEntry } from './replica-entry.js';
 
-/** Number of possible task counts of a job. With this factor, a packed job is an exact integer up to revision 2^34. */
+/** Number of possible task counts of a job. */
 const TASK_COUNT_SPAN = MAX_TASKS_PER_JOB + 1;
+/** The highest version of which a packed job is an exact integer. */
+const MAX_COMPACTED_VERSION = Math.floor(Number.MAX_SAFE_INTEGER / (2 * TASK_COUNT_SPAN)) - 1;
 
 /** Bytes of a packed job besides its id. */
 const PACKED_BYTES = 8;
@@ -30,10 +32,15 @@
     return this.packedById.size;
   }
 
-  /** Adds a job, or replaces it. */
-  set(id: string, { version, taskCount, phase }: EndedJob): void {
+  /** Adds a job, or replaces it; returns false, and holds no such job, if it cannot be packed without loss. */
+  set(id: string, { version, taskCount, phase }: EndedJob): boolean {
+    if (version > MAX_COMPACTED_VERSION || taskCount >= TASK_COUNT_SPAN) {
+      this.packedById.delete(id);
+      return false;
+    }
     const phaseBit = phase === 'done' ? 1 : 0;
     this.packedById.set(id, (version * TASK_COUNT_SPAN + taskCount) * 2 + phaseBit);
+    return true;
   }
 
   /** Returns the job's compacted record, or undefined if it is not compacted. */
--- a/packages/recovery/src/replica/replica.ts
+++ b/packages/recovery/src/replica/replica.ts
@@ -122,7 +122,7 @@
     try {
       const { spec, graph } = decodeJob(value);
       if (graph !== undefined || spec.id !== jobId) return false;
-      this.compactedJobs.set(jobId, { version, taskCount: spec.tasks, phase });
+      if (!this.compactedJobs.set(jobId, { version, taskCount: spec.tasks, phase })) return false;
       this.entriesByKey.delete(key);
       return true;
     } catch {
--- a/packages/recovery/test/replica.test.ts
+++ b/packages/recovery/test/replica.test.ts
@@ -23,6 +23,20 @@
   assert.ok(compacted.text.length < 100);
 });
 
+// Guards against ended jobs that change their phase or number of tasks because a packed number lost digits.
+test('a replica returns the version, phase and task count of ended jobs at every revision of the store', () => {
+  for (const exponent of [3, 33, 35, 36, 40, 52])
+    for (const phase of ['done', 'cancelled'] as const) {
+      const replica = new Replica();
+      const version = (2 ** exponent + 1) as Version;
+      replica.put('j/wk-000001', jobRecord(1, phase), version);
+      const entry = replica.get('j/wk-000001');
+      const decoded = decodeJob(JSON.parse(entry?.text ?? 'null'));
+      assert.deepEqual([entry?.version, decoded.phase, decoded.spec.tasks], [version, phase, 4]);
+      assert.equal([...replica.entries()].length, 1);
+    }
+});
+
 test('a response with an older version, a different value or a missing job contradicts an entry; a newer version or another field order does not', () => {
   const known = { version: 7 as Version, text: '{"a":1,"b":2}' };
   assert.equal(findContradiction('t/x/0', known, 7 as Version, { b: 2, a: 1 }), null);
