Name the backoff of failing jobs as the field does; a task placed twice

SetAsideJobs is PlanningBackoff now, its log message `planning of a job failed; backing off`. A plan that names a task that is placed or done already makes its job back off instead of ending the term (test in plan-executor.test.ts).

--- a/packages/controller/src/leadership/leader.ts
+++ b/packages/controller/src/leadership/leader.ts
@@ -21,7 +21,7 @@
 import { MachineQueues } from '../placement/machine-queues.js';
 import { RuntimeEstimator } from '../placement/runtime-estimator.js';
 import { SchedulingLoop } from '../placement/scheduling-loop.js';
-import { SetAsideJobs } from '../placement/set-aside-jobs.js';
+import { PlanningBackoff } from '../placement/planning-backoff.js';
 import { Reconciliation } from '../reconciliation/reconciliation.js';
 import { maxRenewalStalenessMs } from '../settings.js';
 import type { LeaderComponentFactory } from './leader-component.js';
@@ -46,7 +46,7 @@
   private readonly queues: MachineQueues;
   private readonly heartbeats: HeartbeatResponder;
   private readonly recordWriter: RecordWriter;
-  private readonly setAsideJobs: SetAsideJobs;
+  private readonly planningBackoff: PlanningBackoff;
   private readonly fleet: FleetController;
   private readonly components: LeaderComponents;
   private readonly scheduling: SchedulingLoop;
@@ -76,12 +76,12 @@
     this.queues = new MachineQueues(this.term, this.cluster);
     this.heartbeats = this.createHeartbeatResponder(handler);
     this.recordWriter = this.createRecordWriter();
-    this.setAsideJobs = new SetAsideJobs(this.term, this.cluster);
+    this.planningBackoff = new PlanningBackoff(this.term, this.cluster);
     this.fleet = new FleetController(
       this.term,
       this.cluster,
       this.arrivals,
-      this.setAsideJobs,
+      this.planningBackoff,
       () => this.reconciliation.allowsPlacement,
     );
     this.components = new LeaderComponents(
@@ -188,7 +188,7 @@
   }
 
   private createSchedulingLoop(): SchedulingLoop {
-    return new SchedulingLoop(this.term, this.cluster, this.runtimes, this.setAsideJobs, {
+    return new SchedulingLoop(this.term, this.cluster, this.runtimes, this.planningBackoff, {
       isSchedulable: (job) => this.reconciliation.mayPlaceJob(job) && this.components.isSchedulable(job),
       mayPlaceTasks: () => this.reconciliation.allowsPlacement,
       unconfirmedUsage: (team) => this.reconciliation.unconfirmedUsage(team),
--- a/packages/controller/src/machines/fleet-controller.ts
+++ b/packages/controller/src/machines/fleet-controller.ts
@@ -11,7 +11,7 @@
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { ArrivalRate } from '../placement/arrival-rate.js';
-import type { SetAsideJobs } from '../placement/set-aside-jobs.js';
+import type { PlanningBackoff } from '../placement/planning-backoff.js';
 import { failoverDiscoveryTimeoutMs, sustainableMachineCount } from '../settings.js';
 import { WakeSignal } from '../wake-signal.js';
 import { DemandHistory } from './demand-history.js';
@@ -60,7 +60,7 @@
     private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
     private readonly arrivals: ArrivalRate,
-    private readonly setAsideJobs: SetAsideJobs,
+    private readonly planningBackoff: PlanningBackoff,
     /** Whether the tasks on the machines are known well enough to release idle machines. */
     private readonly mayScale: () => boolean,
   ) {
@@ -140,7 +140,7 @@
       return this.planAt(now);
     } catch (error) {
       if (!(error instanceof JobPlanningError)) throw error;
-      this.setAsideJobs.add(error.job, error.message);
+      this.planningBackoff.recordFailure(error.job, error.message);
       this.signal.notify();
       return null;
     }
@@ -154,7 +154,9 @@
     return planFleet({
       types: machineTypes(),
       machines: buildFleetView(this.cluster, now, isConsolidating, discoveredBy),
-      unplacedDemand: this.unplacedDemand.filter(({ job }) => !this.setAsideJobs.has(job.spec.id)),
+      unplacedDemand: this.unplacedDemand.filter(
+        ({ job }) => !this.planningBackoff.isBackingOff(job.spec.id),
+      ),
       policy: this.policy(isConsolidating),
       hasCapacity: (type, zone, spot) => this.provisioner.mayHaveCapacity(type, zone, spot, now),
     });
--- a/packages/controller/src/placement/plan-executor.ts
+++ b/packages/controller/src/placement/plan-executor.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Job, Machine, PlacementTerm } from '@spurbridge/model';
+import { TaskNotPlaceableError } from '@spurbridge/model';
 import type { MonotonicMs } from '@spurbridge/net';
 import type { SchedulingPlan, TaskPreemption, TaskStart } from '@spurbridge/planner';
 import type { AgentEpoch, Attempt, JobId } from '@spurbridge/wire';
@@ -11,7 +12,7 @@
 import type { ClusterState } from '../jobs/cluster-state.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import { PlacementCheck } from './placement-check.js';
-import type { SetAsideJobs } from './set-aside-jobs.js';
+import type { PlanningBackoff } from './planning-backoff.js';
 
 /** Added to the time that a preempted task takes to save a checkpoint, in seconds. */
 const CHECKPOINT_GRACE_MARGIN_S = 1;
@@ -39,14 +40,14 @@
   constructor(
     private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
-    private readonly setAsideJobs: SetAsideJobs,
+    private readonly planningBackoff: PlanningBackoff,
   ) {}
 
   /** Carries out a plan that was computed from the present state of the cluster. */
   execute(plan: SchedulingPlan, now: MonotonicMs): void {
     const gangAttempts = new Map<JobId, Attempt>();
     for (const start of this.admittedStarts([...plan.starts, ...plan.queuedStarts], now))
-      this.place(start, gangAttempts);
+      this.tryPlace(start, gangAttempts);
     for (const preemption of plan.preemptions) this.preempt(preemption, now);
   }
 
@@ -81,7 +82,16 @@
       { ...this.describe(job, task, machine), violated: term, count },
       'planned placement refused',
     );
-    this.setAsideJobs.add(job.spec.id, `a plan violated the job's terms: ${term}`);
+    this.planningBackoff.recordFailure(job.spec.id, `a plan violated the job's terms: ${term}`);
+  }
+
+  private tryPlace(start: KnownStart, gangAttempts: Map<JobId, Attempt>): void {
+    try {
+      this.place(start, gangAttempts);
+    } catch (error) {
+      if (!(error instanceof TaskNotPlaceableError)) throw error;
+      this.planningBackoff.recordFailure(start.job.spec.id, error.message);
+    }
   }
 
   /** Places one task; all tasks that a plan places for a gang share one attempt, kept in `gangAttempts`. */
--- a/packages/controller/src/placement/scheduling-loop.ts
+++ b/packages/controller/src/placement/scheduling-loop.ts
@@ -16,7 +16,7 @@
 import type { ResourceUsage } from './resource-usage.js';
 import type { RuntimeEstimator } from './runtime-estimator.js';
 import { buildSchedulingSnapshot } from './scheduling-snapshot.js';
-import type { SetAsideJobs } from './set-aside-jobs.js';
+import type { PlanningBackoff } from './planning-backoff.js';
 
 /** Maximum interval between two passes, even if nothing has changed. */
 const MAX_INTERVAL_MS = 1000;
@@ -31,8 +31,8 @@
  */
 const RECONNECTION_PAUSE_FACTOR = 10;
 const RECONNECTION_PAUSE_PER_MACHINE_MS = 1.5;
-/** How many jobs on which the plan fails may be set aside within one pass; the next pass continues. */
-const MAX_SET_ASIDE_PER_PASS = 16;
+/** On how many jobs the plan may fail within one pass; the next pass continues. */
+const MAX_FAILURES_PER_PASS = 16;
 
 /** The queries and notifications by which the scheduling loop uses the leader's other components. */
 export interface SchedulingLoopDependencies {
@@ -57,10 +57,10 @@
     private readonly term: LeaderTerm,
     private readonly cluster: ClusterState,
     private readonly estimator: RuntimeEstimator,
-    private readonly setAsideJobs: SetAsideJobs,
+    private readonly planningBackoff: PlanningBackoff,
     private readonly dependencies: SchedulingLoopDependencies,
   ) {
-    this.executor = new PlanExecutor(term, cluster, setAsideJobs);
+    this.executor = new PlanExecutor(term, cluster, planningBackoff);
     cluster.on('replanNeeded', () => {
       this.requestPass();
     });
@@ -109,14 +109,14 @@
     onPlanned(version);
   }
 
-  /** The plan of all jobs on which it does not fail; null if it still fails after some of them were set aside. */
+  /** The plan of all jobs on which it does not fail; null if it still fails without some of them. */
   private planWithoutFailingJobs(settings: Settings, now: MonotonicMs): SchedulingPlan | null {
-    for (let attempt = 0; attempt < MAX_SET_ASIDE_PER_PASS; attempt += 1)
+    for (let attempt = 0; attempt < MAX_FAILURES_PER_PASS; attempt += 1)
       try {
         return this.plan(settings, now);
       } catch (error) {
         if (!(error instanceof JobPlanningError)) throw error;
-        this.setAsideJobs.add(error.job, error.message);
+        this.planningBackoff.recordFailure(error.job, error.message);
       }
     this.requestPass();
     return null;
@@ -124,7 +124,7 @@
 
   private plan(settings: Settings, now: MonotonicMs): SchedulingPlan {
     const isSchedulable = (job: Job): boolean =>
-      !this.setAsideJobs.has(job.spec.id) && this.dependencies.isSchedulable(job);
+      !this.planningBackoff.isBackingOff(job.spec.id) && this.dependencies.isSchedulable(job);
     const snapshot = buildSchedulingSnapshot(this.cluster, this.estimator, settings, now, isSchedulable);
     return planTasks({
       ...snapshot,
--- a/packages/controller/src/placement/scheduling-metrics.ts
+++ b/packages/controller/src/placement/scheduling-metrics.ts
@@ -12,6 +12,6 @@
   refusedPlacements = 0;
   /** Tasks that were found on a machine that their job excludes, and were stopped. */
   misplacedTasks = 0;
-  /** How often a job was set aside because planning or placing it failed. */
-  setAsideJobs = 0;
+  /** How often planning or placing a job failed, so that it was left out of the plans for a while. */
+  planningFailures = 0;
 }
--- a/packages/controller/test/failing-plans.test.ts
+++ b/packages/controller/test/failing-plans.test.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from '@spurbridge/wire';
 import { RuntimeEstimator } from '../src/placement/runtime-estimator.js';
 import { SchedulingLoop } from '../src/placement/scheduling-loop.js';
-import { SetAsideJobs } from '../src/placement/set-aside-jobs.js';
+import { PlanningBackoff } from '../src/placement/planning-backoff.js';
 import type { LeaderFixture } from './leader-fixture.js';
 import { AGENT_EPOCH, MACHINE, addJob, createLeaderFixture } from './leader-fixture.js';
 
@@ -26,19 +26,19 @@
 }
 
 interface Fixture extends LeaderFixture {
-  readonly setAside: string[];
+  readonly failedJobs: string[];
   /** Runs this many passes, half a second apart. */
   run(passes: number): Promise<void>;
 }
 
 function createFixture(): Fixture {
-  const setAside: string[] = [];
+  const failedJobs: string[] = [];
   let remainingPasses = 0;
   const leader: LeaderFixture = createLeaderFixture({
     log: {
       debug: () => undefined,
       info: () => undefined,
-      error: ({ job }: { job: string }) => setAside.push(job),
+      error: ({ job }: { job: string }) => failedJobs.push(job),
     },
     settings: { workers: { reportS: 4, leaseS: 22, cancelS: 42 } },
     configuration: () => ({ version: 1 as ConfigurationVersion, teams: TEAMS, objectives: [] }),
@@ -59,7 +59,7 @@
   const machine = cluster.registerMachine(MACHINE, 'm16', 'a', false);
   machine.agentEpoch = AGENT_EPOCH;
   machine.transitionTo('ready');
-  const loop = new SchedulingLoop(term, cluster, new RuntimeEstimator(), new SetAsideJobs(term, cluster), {
+  const loop = new SchedulingLoop(term, cluster, new RuntimeEstimator(), new PlanningBackoff(term, cluster), {
     isSchedulable: () => true,
     mayPlaceTasks: () => true,
     unconfirmedUsage: () => {
@@ -80,22 +80,22 @@
       clearInterval(wake);
     });
   };
-  return { ...leader, setAside, run };
+  return { ...leader, failedJobs, run };
 }
 
 // Guards against terms that end one after another because every leader's plan fails on the same job (review/2).
 for (const field of ['spread', 'zone', 'estimateS', 'imageGb', 'priority'] as const)
-  test(`a plan that fails on one job's ${field} sets that job aside and places the others`, async () => {
+  test(`a plan that fails on one job's ${field} leaves that job out and places the others`, async () => {
     const fixture = createFixture();
-    const { cluster, term, setAside } = fixture;
+    const { cluster, term, failedJobs } = fixture;
     const failing = addJob(cluster, failingSpec(1, field));
     const ordinary = addJob(cluster, ORDINARY);
     await fixture.run(2);
-    assert.deepEqual(setAside.slice(0, 1), [failing.spec.id]);
-    assert.ok(!setAside.includes(ORDINARY.id));
+    assert.deepEqual(failedJobs.slice(0, 1), [failing.spec.id]);
+    assert.ok(!failedJobs.includes(ORDINARY.id));
     assert.equal(ordinary.placements.size, 1, 'the ordinary job is placed');
     assert.equal(failing.placements.size, 0);
-    assert.equal(term.metrics.setAsideJobs, setAside.length);
+    assert.equal(term.metrics.planningFailures, failedJobs.length);
   });
 
 test('a job on which plans fail is tried again, less and less often', async () => {
@@ -105,8 +105,8 @@
   await fixture.run(passes);
   const seconds = (passes * PASS_INTERVAL_MS) / 1000;
   assert.ok(
-    fixture.setAside.length >= 4 && fixture.setAside.length <= 6,
-    `${fixture.setAside.length} in ${seconds} s`,
+    fixture.failedJobs.length >= 4 && fixture.failedJobs.length <= 6,
+    `${fixture.failedJobs.length} in ${seconds} s`,
   );
 });
 
--- a/packages/controller/test/plan-executor.test.ts
+++ b/packages/controller/test/plan-executor.test.ts
@@ -6,7 +6,7 @@
 import { jobId, jobSpec } from '@spurbridge/testkit';
 import type { JobSpec, MachineId } from '@spurbridge/wire';
 import { PlanExecutor } from '../src/placement/plan-executor.js';
-import { SetAsideJobs } from '../src/placement/set-aside-jobs.js';
+import { PlanningBackoff } from '../src/placement/planning-backoff.js';
 import type { LeaderFixture } from './leader-fixture.js';
 import { AGENT_EPOCH, FENCING_TOKEN, addJob, createLeaderFixture } from './leader-fixture.js';
 
@@ -16,7 +16,7 @@
 
 interface Fixture extends LeaderFixture {
   readonly errors: { readonly fields: object; readonly message: string }[];
-  readonly setAsideJobs: SetAsideJobs;
+  readonly planningBackoff: PlanningBackoff;
   /** Carries out a plan that starts a task on each of these machines. */
   execute(job: Job, machines: readonly MachineId[]): void;
 }
@@ -33,8 +33,8 @@
   cluster.registerMachine(SMALL_ON_DEMAND, 's4', 'a', false).agentEpoch = AGENT_EPOCH;
   cluster.registerMachine(SMALL_SPOT, 's4', 'a', true).agentEpoch = AGENT_EPOCH;
   cluster.registerMachine(MIDDLE_IN_OTHER_ZONE, 'm16', 'b', false).agentEpoch = AGENT_EPOCH;
-  const setAsideJobs = new SetAsideJobs(term, cluster);
-  const executor = new PlanExecutor(term, cluster, setAsideJobs);
+  const planningBackoff = new PlanningBackoff(term, cluster);
+  const executor = new PlanExecutor(term, cluster, planningBackoff);
   const execute = (job: Job, machines: readonly MachineId[]): void => {
     const starts = machines.map((machine, task) => ({ job: job.spec.id, task, machine }));
     const plan: SchedulingPlan = {
@@ -46,7 +46,7 @@
     };
     executor.execute(plan, time.now as MonotonicMs);
   };
-  return { ...leader, errors, setAsideJobs, execute };
+  return { ...leader, errors, planningBackoff, execute };
 }
 
 const FORBIDDEN: readonly (readonly [string, Partial<JobSpec>, MachineId])[] = [
@@ -60,19 +60,19 @@
 for (const [term, overrides, machine] of FORBIDDEN)
   test(`a planned placement that violates the job's terms is not written: ${term}`, () => {
     const fixture = createFixture();
-    const { cluster, term: leaderTerm, errors, setAsideJobs, time } = fixture;
+    const { cluster, term: leaderTerm, errors, planningBackoff, time } = fixture;
     const job = addJob(cluster, jobSpec({ id: jobId(1), ...overrides }));
     fixture.execute(job, [machine]);
     assert.equal(job.placements.size, 0);
     assert.equal(leaderTerm.metrics.refusedPlacements, 1);
     assert.deepEqual(
       errors.map(({ message }) => message),
-      ['planned placement refused', 'job set aside'],
+      ['planned placement refused', 'planning of a job failed; backing off'],
     );
     assert.equal((errors[0]?.fields as { violated?: string }).violated, term);
-    assert.ok(setAsideJobs.has(job.spec.id), 'no hot loop');
+    assert.ok(planningBackoff.isBackingOff(job.spec.id), 'no hot loop');
     time.now += 1000;
-    assert.ok(!setAsideJobs.has(job.spec.id), 'planned anew');
+    assert.ok(!planningBackoff.isBackingOff(job.spec.id), 'planned anew');
   });
 
 test('a planned placement on a machine on which the job failed is not written', () => {
@@ -102,16 +102,32 @@
   assert.equal(fixture.term.metrics.refusedPlacements, 1);
 });
 
-test('a job that is refused again and again is set aside for longer and longer, for a minute at most', () => {
+test('a plan that places a task twice does not end the term', () => {
   const fixture = createFixture();
-  const { setAsideJobs, time } = fixture;
+  const { cluster, planningBackoff } = fixture;
+  const job = addJob(cluster, jobSpec({ id: jobId(1) }));
+  fixture.execute(job, [SMALL_ON_DEMAND]);
+  fixture.execute(job, [SMALL_SPOT, SMALL_SPOT]);
+  assert.deepEqual(
+    [...job.placements.values()].map(({ task, machine }) => [task, machine]),
+    [
+      [0, SMALL_ON_DEMAND],
+      [1, SMALL_SPOT],
+    ],
+  );
+  assert.ok(planningBackoff.isBackingOff(job.spec.id));
+});
+
+test('a job that is refused again and again is left out of plans for longer and longer, for a minute at most', () => {
+  const fixture = createFixture();
+  const { planningBackoff, time } = fixture;
   const job = addJob(fixture.cluster, jobSpec({ id: jobId(1), types: ['m16'] }));
-  const pausesMs: number[] = [];
+  const backoffsMs: number[] = [];
   for (let refusal = 0; refusal < 8; refusal += 1) {
     fixture.execute(job, [SMALL_ON_DEMAND]);
     const sinceMs = time.now;
-    while (setAsideJobs.has(job.spec.id)) time.now += 500;
-    pausesMs.push(time.now - sinceMs);
+    while (planningBackoff.isBackingOff(job.spec.id)) time.now += 500;
+    backoffsMs.push(time.now - sinceMs);
   }
-  assert.deepEqual(pausesMs, [1000, 2000, 4000, 8000, 16_000, 32_000, 60_000, 60_000]);
+  assert.deepEqual(backoffsMs, [1000, 2000, 4000, 8000, 16_000, 32_000, 60_000, 60_000]);
 });
--- a/packages/controller/test/quota-enforcement.test.ts
+++ b/packages/controller/test/quota-enforcement.test.ts
@@ -8,7 +8,7 @@
 import { RuntimeEstimator } from '../src/placement/runtime-estimator.js';
 import { ClusterState } from '../src/index.js';
 import { SchedulingLoop } from '../src/placement/scheduling-loop.js';
-import { SetAsideJobs } from '../src/placement/set-aside-jobs.js';
+import { PlanningBackoff } from '../src/placement/planning-backoff.js';
 import { MachineQueues } from '../src/placement/machine-queues.js';
 import type { LeaderContext } from '../src/leadership/leader-term.js';
 import { LeaderTerm } from '../src/leadership/leader-term.js';
@@ -54,7 +54,7 @@
     cluster.markDurable([{ job, task, attempt: placement.attempt }]);
     assert.equal(placement.state, 'queued');
   }
-  const loop = new SchedulingLoop(term, cluster, new RuntimeEstimator(), new SetAsideJobs(term, cluster), {
+  const loop = new SchedulingLoop(term, cluster, new RuntimeEstimator(), new PlanningBackoff(term, cluster), {
     isSchedulable: () => true,
     mayPlaceTasks: () => true,
     unconfirmedUsage: () => ({ cpus: 0, gpus: 0 }),
