--- a/packages/measure/src/plans.ts
+++ b/packages/measure/src/plans.ts
@@ -28,7 +28,7 @@
   readonly steps: number;
 }
 
-const SIZES = [100, 800, 1245, 3200, 12_800];
+const SIZES = [100, 800, 1000, 1245, 3200, 4000, 12_800];
 const ZONES = ['a', 'b', 'c'];
 const TYPES = [machineType('s4', 4), machineType('m16', 16), machineType('l32', 32)];
 const TEAMS = ['red', 'blue', 'green'];
--- a/packages/testkit/src/contended-days.ts
+++ b/packages/testkit/src/contended-days.ts
@@ -8,6 +8,7 @@
 import type { CombinableFault } from './combined-faults.js';
 import { COMBINABLE_FAULTS, injectCombinedFaults } from './combined-faults.js';
 import { jobId, jobSpec, machineType } from './fixtures.js';
+import { pick } from './random-choice.js';
 import { FAULTS_END_MS } from './random-faults.js';
 import { smallWorld } from './small-world.js';
 import { STARVATION_DETECTION_MS } from './starvation.js';
@@ -135,9 +136,3 @@
 function beginAt(world: World, atMs: number, fault: CombinableFault | undefined, forMs: number): void {
   world.time.after(atMs, () => fault?.(world, forMs));
 }
-
-function pick<Item>(world: World, items: readonly Item[]): Item {
-  const item = items[world.random(items.length)];
-  if (item === undefined) throw new RangeError('nothing to choose from');
-  return item;
-}
--- a/packages/testkit/src/extreme-amount-days.ts
+++ b/packages/testkit/src/extreme-amount-days.ts
@@ -7,6 +7,7 @@
 import type { JobKind, JobSpec } from '@spurbridge/wire';
 import { injectCombinedFaults } from './combined-faults.js';
 import { ZONES, jobId, jobSpec, machineType } from './fixtures.js';
+import { pick } from './random-choice.js';
 import { FAULTS_END_MS } from './random-faults.js';
 import { smallWorld } from './small-world.js';
 import type { WorldOptions } from './world-options.js';
@@ -143,9 +144,3 @@
   const isSaveEndless = checkpointS > 0 && saveS >= Math.min(...ENDLESS_SAVE_TIMES_S);
   return isSaveEndless || imageGb >= Math.min(...ENDLESS_IMAGE_SIZES_GB);
 }
-
-function pick<Item>(world: World, items: readonly Item[]): Item {
-  const item = items[world.random(items.length)];
-  if (item === undefined) throw new RangeError('nothing to choose from');
-  return item;
-}
