Pause after a fleet plan that failed on a job

Found by rereading the change: when a plan of the fleet failed on a job, the fleet controller planned again at once, without a turn of the event loop in between, as often as there were failing jobs. With many of them a leader would have stood still. It pauses after every plan now.

--- a/packages/controller/src/machines/fleet-controller.ts
+++ b/packages/controller/src/machines/fleet-controller.ts
@@ -116,14 +116,17 @@
       if (!this.term.isActive) return;
       if (!this.canPlan()) continue;
       const plan = this.planWithoutFailingJobs(clock.now());
-      if (plan === null) continue;
-      this.scaleIn(plan);
-      this.consolidate(plan);
-      await Promise.all(plan.scaleOut.map((request) => this.provisioner.scaleOut(request)));
+      if (plan !== null) await this.carryOut(plan);
       await clock.sleep(PLAN_PAUSE_MS);
     }
   }
 
+  private async carryOut(plan: FleetPlan): Promise<void> {
+    this.scaleIn(plan);
+    this.consolidate(plan);
+    await Promise.all(plan.scaleOut.map((request) => this.provisioner.scaleOut(request)));
+  }
+
   private canPlan(): boolean {
     const { leadership, machineTypes } = this.term.context;
     return (
--- a/packages/controller/test/failing-plans.test.ts
+++ b/packages/controller/test/failing-plans.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { ConfigurationVersion } from '@spurbridge/configuration';
 import type { MonotonicMs } from '@spurbridge/net';
 import { TEAMS, TYPES, jobId, jobSpec } from '@spurbridge/testkit';
 import type { JobSpec } from '@spurbridge/wire';
+import { FleetController } from '../src/machines/fleet-controller.js';
+import { ArrivalRate } from '../src/placement/arrival-rate.js';
 import { RuntimeEstimator } from '../src/placement/runtime-estimator.js';
 import { SchedulingLoop } from '../src/placement/scheduling-loop.js';
 import { PlanningBackoff } from '../src/placement/planning-backoff.js';
@@ -117,3 +120,55 @@
   await fixture.run(6);
   assert.equal(ordinary.placements.size, 1);
 });
+
+test('fleet plans that fail on many jobs leave turns of the event loop to other work', async () => {
+  const never = (): Promise<never> => new Promise(() => undefined);
+  const { term, cluster } = createLeaderFixture({
+    settings: {
+      workers: { reportS: 4, leaseS: 22, cancelS: 42 },
+      resources: { cpu: 1, memMb: 256, sockets: 2000 },
+    },
+    leadership: { fencingToken: 1, holdsValidLease: () => true },
+    machineTypes: () => TYPES,
+    cloud: { listMachines: never, rent: never, release: never },
+  });
+  cluster.setInitialFleet('');
+  const estimator = new RuntimeEstimator();
+  const arrivals = new ArrivalRate(
+    estimator,
+    () => TEAMS,
+    () => term.context.clock.now(),
+  );
+  const fleet = new FleetController(term, cluster, arrivals, new PlanningBackoff(term, cluster), () => true);
+  for (let number = 1; number <= 50; number += 1) addJob(cluster, failingSpec(number, 'oneZone'));
+  fleet.setUnplacedDemand(
+    [...cluster.jobs.values()].map(({ spec }) => ({
+      job: {
+        spec,
+        pendingTasks: [0],
+        pendingCount: 1,
+        unfinishedCount: 1,
+        placedZones: [],
+        totalWaitS: 0,
+        ageS: 0,
+        estimateS: 5,
+        completionMilestonesS: [],
+        startMilestonesS: [],
+        toleratedWaitS: 1,
+        excludedMachines: new Set(),
+        submissionOrder: 0,
+        isStartable: true,
+      },
+      taskCount: 1,
+      startsInS: Infinity,
+      isWithinLimit: true,
+      isGuaranteed: true,
+      zone: null,
+    })),
+  );
+  void fleet.run();
+  await nextTurn();
+  const { planningFailures } = term.metrics;
+  term.end();
+  assert.ok(planningFailures >= 1 && planningFailures <= 3, `${planningFailures} plans in one turn`);
+});
